Add session, route, entry, exchange transport and PostgreSQL caller

A thin working path: callers speak PostgreSQL v3, batches go through the entry to a local owner or over a connect-go stream. One stream carries several exchanges one after another. Named prepared statements travel as definitions (Batch.Prepared) under a hash of their definition; the payload holds no Parse for them.

--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"lovageslip/class"
+	"lovageslip/exchange"
+	"lovageslip/fault"
+	"lovageslip/registry"
+	"lovageslip/route"
+	"lovageslip/upstream"
+)
+
+// attempt is the way of one request through as many tries as it takes.
+type attempt struct {
+	session   *Session
+	entry     *Entry
+	request   Request
+	requestID string
+	class     class.Class
+	mode      upstream.Mode
+	sink      upstream.Sink
+	started   time.Time
+	deadline  time.Time
+
+	tries    int
+	excluded []string
+	// answering is true once the sink has taken a part of an answer.
+	answering bool
+	// refusal is the last refusal by an owner.
+	refusal error
+	// chosen and asked describe the last try.
+	chosen route.Choice
+	asked  route.Request
+}
+
+func newAttempt(s *Session, request Request, requestID string, c class.Class, sink upstream.Sink) *attempt {
+	started := time.Now()
+	return &attempt{
+		session:   s,
+		entry:     s.entry,
+		request:   request,
+		requestID: requestID,
+		class:     c,
+		mode:      s.entry.modeOf(request.Texts),
+		sink:      sink,
+		started:   started,
+		deadline:  started.Add(c.Wait),
+	}
+}
+
+func (a *attempt) run(ctx context.Context) (exchange.Done, error) {
+	for {
+		// The channel is taken before the view, so that no change is missed.
+		changed := a.entry.directory.Changed()
+		done, err := a.try(ctx)
+		if err == nil {
+			a.entry.budget.succeeded()
+			return done, nil
+		}
+		if !a.again(ctx, err, changed) {
+			return exchange.Done{}, a.entry.final(a.cause(err), a.class.Name, a.class.Wait)
+		}
+		a.tries++
+	}
+}
+
+// cause prefers an owner's refusal over the fact that no upstream is left.
+func (a *attempt) cause(err error) error {
+	if a.refusal != nil && reasonOf(err) == fault.ReasonNoUpstream {
+		return a.refusal
+	}
+	return err
+}
+
+func (a *attempt) try(ctx context.Context) (exchange.Done, error) {
+	view, err := a.entry.view()
+	if err != nil {
+		return exchange.Done{}, err
+	}
+	if err := a.choose(view); err != nil {
+		return exchange.Done{}, err
+	}
+	if err := a.sleep(ctx, a.chosen.Delay); err != nil {
+		return exchange.Done{}, err
+	}
+	stream, err := a.entry.gateway.OpenAt(ctx, a.chosen.Upstream.OwnerAddress, a.open(view))
+	if err != nil {
+		return exchange.Done{}, err
+	}
+	return a.exchange(ctx, stream)
+}
+
+func (a *attempt) choose(view *registry.View) error {
+	a.asked = route.Request{
+		View:      view,
+		Database:  a.session.database,
+		Class:     a.class,
+		Mode:      a.mode,
+		Min:       a.session.position,
+		SinceMin:  time.Since(a.session.positionAt),
+		Remaining: a.remaining(),
+		Exclude:   a.excluded,
+	}
+	choice, err := a.entry.router.Choose(a.asked)
+	a.chosen = choice
+	return err
+}
+
+// sleep waits for a replica to catch up with the session.
+func (a *attempt) sleep(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return nil
+	}
+	a.asked.SinceMin += delay
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return cancelled()
+	}
+}
+
+func cancelled() error {
+	return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: "cancelled before the request was sent"}
+}
+
+func (a *attempt) open(view *registry.View) exchange.Open {
+	return exchange.Open{
+		Upstream:      a.chosen.Upstream.Name,
+		Class:         a.class.Name,
+		ConfigVersion: view.ConfigVersion,
+		MinPosition:   a.session.position,
+		Caller:        a.session.caller,
+		EntryHost:     a.entry.hostName,
+	}
+}
+
+// exchange runs the batch and keeps the exchange if it leaves a transaction
+// open.
+func (a *attempt) exchange(ctx context.Context, stream exchange.Stream) (exchange.Done, error) {
+	name := a.chosen.Upstream.Name
+	a.session.setStream(stream)
+	defer a.session.setStream(nil)
+	a.entry.router.Started(name)
+	begun := time.Now()
+	done, err := stream.Run(ctx, a.batch(), a.pass)
+	if err != nil {
+		a.entry.router.Finished(name, 0)
+		_ = stream.Close() // the exchange has ended with the error
+		return done, err
+	}
+	a.entry.router.Finished(name, time.Since(begun))
+	a.entry.router.Observe(done.Hint)
+	if done.State == upstream.StateIdle {
+		_ = stream.Close() // nothing is open on it
+		return done, nil
+	}
+	a.session.pinned = stream
+	a.session.pinnedMode = a.mode
+	a.session.pinnedClass = a.class.Name
+	return done, nil
+}
+
+func (a *attempt) pass(chunk []byte) error {
+	a.answering = true
+	return a.sink(chunk)
+}
+
+// answered reports whether the caller has seen a part of an answer. Parts that
+// are still held for the caller are dropped.
+func (a *attempt) answered() bool {
+	if a.answering && a.request.Restart != nil && a.request.Restart() {
+		a.answering = false
+	}
+	return a.answering
+}
+
+func (a *attempt) batch() upstream.Batch {
+	batch := batchOf(a.request, a.mode)
+	batch.RequestID = a.requestID
+	if a.mode == upstream.ModeRead {
+		// A read needs no ledger row; the server refuses writes in this mode.
+		batch.RequestID = ""
+	}
+	batch.Waited = time.Since(a.started)
+	batch.WaitRemaining = a.remaining()
+	return batch
+}
+
+func batchOf(request Request, mode upstream.Mode) upstream.Batch {
+	return upstream.Batch{
+		Mode:     mode,
+		Payload:  request.Payload,
+		Prepared: request.Prepared,
+		Shape:    shapeOf(request.Texts),
+	}
+}
+
+func (a *attempt) remaining() time.Duration { return max(0, time.Until(a.deadline)) }
--- /dev/null
+++ b/exchange/transport.go
@@ -0,0 +1,67 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// pingAfter and pingTimeout bound how long a connection that delivers
+	// nothing is trusted.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	// maxStreams is how many exchanges one entry proxy may have open with one
+	// owner. The owner's queue limits come into force well below it.
+	maxStreams = 100_000
+	// streamWindow and connectionWindow bound the answer bytes in flight.
+	streamWindow     = 256 << 10
+	connectionWindow = 4<<20 - 1
+)
+
+// HTTP2Config returns the settings that both ends of a connection use.
+func HTTP2Config() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreams,
+		StrictMaxConcurrentRequests:   true,
+		SendPingTimeout:               pingAfter,
+		PingTimeout:                   pingTimeout,
+		MaxReceiveBufferPerStream:     streamWindow,
+		MaxReceiveBufferPerConnection: connectionWindow,
+	}
+}
+
+// NewHTTPClient returns an HTTP client that opens one plaintext HTTP/2
+// connection per owner.
+func NewHTTPClient() *http.Client {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: &protocols, HTTP2: HTTP2Config()}}
+}
+
+// ConfigureServer makes an HTTP server accept plaintext HTTP/2 besides
+// HTTP/1.1.
+func ConfigureServer(server *http.Server) {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Protocols = &protocols
+	server.HTTP2 = HTTP2Config()
+}
+
+// Local is a Gateway that calls this host's own Handler directly and passes
+// other addresses on.
+type Local struct {
+	Address string
+	Handler Handler
+	Remote  Gateway
+}
+
+// OpenAt implements Gateway.
+func (l *Local) OpenAt(ctx context.Context, address string, open Open) (Stream, error) {
+	if address == l.Address {
+		return l.Handler.Open(ctx, open)
+	}
+	return l.Remote.OpenAt(ctx, address, open)
+}
