exchange: end streams reliably

A cancelled stream stayed open because net/http waits for the request body before it looks at the context; the body is closed now. A stream that a draining owner has ended was kept for reuse, so the next batch on it got an unknown outcome (seen in TestRequestThatMeetsDrainIsNeverUnknown).

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -108,8 +108,8 @@
 	if err != nil {
 		return Done{}, err
 	}
-	// Cancelling the link ends the stream, so the owner stops the batch.
-	release := context.AfterFunc(ctx, link.cancel)
+	// Closing the link ends the stream, so the owner stops the batch.
+	release := context.AfterFunc(ctx, link.close)
 	done, err := link.run(batch, sink)
 	clean := release() && link.reusable()
 	if err != nil {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -297,7 +297,7 @@
 				for {
 					_, _, err := ask(t.Context(), client, s.address, "x")
 					var unknown *fault.OutcomeUnknown
-					assert.Check(t, !errors.As(err, &unknown), "%v", err)
+					assert.Check(t, !errors.As(err, &unknown), "%v: %v", err, errors.Unwrap(err))
 					if err != nil {
 						return
 					}
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -52,7 +52,7 @@
 func (p *peer) dial() *link {
 	// The stream outlives the request that opens it, so its context is its own.
 	ctx, cancel := context.WithCancel(context.Background())
-	return &link{stream: p.service.Run(ctx), cancel: cancel}
+	return &link{stream: p.service.Run(ctx), cancelCtx: cancel}
 }
 
 func (p *peer) get() *link {
@@ -104,7 +104,7 @@
 // link is one stream to an owner. One exchange uses it at a time.
 type link struct {
 	stream    *runStream
-	cancel    context.CancelFunc
+	cancelCtx context.CancelFunc
 	idleSince time.Time
 	broken    bool // used by the goroutine that runs the exchange
 
@@ -114,7 +114,7 @@
 }
 
 func (l *link) sendOpen(ctx context.Context, open *lovageslipv1.RunRequest) error {
-	release := context.AfterFunc(ctx, l.cancel)
+	release := context.AfterFunc(ctx, l.close)
 	err := l.stream.Send(open)
 	if !release() && err == nil {
 		return ctx.Err()
@@ -180,6 +180,9 @@
 		case *lovageslipv1.RunResponse_Done:
 			return doneFromWire(m.Done), nil
 		case *lovageslipv1.RunResponse_Refused:
+			// An owner that drains ends the stream with this message, so a
+			// later batch on it would get no answer at all.
+			l.broken = m.Refused.GetReason() == lovageslipv1.Reason_REASON_SHUTDOWN
 			return Done{}, refusalFromWire(m.Refused)
 		default:
 			return Done{}, l.breakOff("owner sent an unknown message", nil)
@@ -201,5 +204,10 @@
 	return !l.broken && !l.cancelled
 }
 
-// close ends the stream; the owner then rolls back what is open on it.
-func (l *link) close() { l.cancel() }
+// close ends the stream; the owner then rolls back what is open on it. It may
+// be called at any time. The transport notices the cancelled context only once
+// it no longer waits for the request body, so the body is closed too.
+func (l *link) close() {
+	l.cancelCtx()
+	_ = l.stream.CloseRequest() // the stream has ended either way
+}
