--- a/entry/session.go
+++ b/entry/session.go
@@ -233,3 +233,10 @@
 		s.unpin()
 	}
 }
+
+// Running reports whether a batch is in flight. It is safe to call at any time.
+func (s *Session) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.interrupt != nil
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,152 @@
+package route_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/class"
+	"lovageslip/exchange"
+	"lovageslip/fault"
+	"lovageslip/registry"
+	"lovageslip/route"
+	"lovageslip/upstream"
+)
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time          { return c.now }
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func newRouter() (*route.Router, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	return route.New(route.Options{DataCentre: "luzon", Now: c.Now}), c
+}
+
+// view has a primary far away, and a near and a far replica.
+func view() *registry.View {
+	of := func(name, dataCentre string) registry.Upstream {
+		return registry.Upstream{Name: name, Database: "shop", DataCentre: dataCentre, Owner: "p", OwnerAddress: "127.0.0.1:1"}
+	}
+	return &registry.View{
+		Upstreams: map[string]registry.Upstream{
+			"primary": of("primary", "visayas"), "near": of("near", "luzon"), "far": of("far", "mindanao"),
+		},
+		Groups: map[string]registry.Group{"shop": {Database: "shop", Primary: "primary"}},
+	}
+}
+
+func read(v *registry.View) route.Request {
+	return route.Request{
+		View: v, Database: "shop", Mode: upstream.ModeRead, Remaining: time.Second,
+		Class: class.Class{Name: "report", Wait: time.Second, Age: 100 * time.Millisecond},
+	}
+}
+
+func chosen(t testing.TB, r *route.Router, request route.Request) string {
+	t.Helper()
+	choice, err := r.Choose(request)
+	assert.NilError(t, err)
+	return choice.Upstream.Name
+}
+
+func hint(name string, age time.Duration, offset upstream.Offset) exchange.Hint {
+	return exchange.Hint{Upstream: name, DataAge: age, Position: upstream.Position{Term: 1, Offset: offset}}
+}
+
+func TestReadWithoutHintsGoesToTheNearestReplica(t *testing.T) {
+	r, _ := newRouter()
+	assert.Equal(t, chosen(t, r, read(view())), "near")
+}
+
+func TestWriteAndAgeZeroGoToThePrimary(t *testing.T) {
+	r, _ := newRouter()
+	write := read(view())
+	write.Mode = upstream.ModeWrite
+	assert.Equal(t, chosen(t, r, write), "primary")
+	current := read(view())
+	current.Class.Age = 0
+	assert.Equal(t, chosen(t, r, current), "primary")
+}
+
+func TestLeavingExcludedAndOwnerlessUpstreamsGetNothing(t *testing.T) {
+	r, _ := newRouter()
+	v := view()
+	near := v.Upstreams["near"]
+	near.Leaving = true
+	v.Upstreams["near"] = near
+	far := v.Upstreams["far"]
+	far.OwnerAddress = ""
+	v.Upstreams["far"] = far
+	request := read(v)
+	assert.Equal(t, chosen(t, r, request), "primary")
+	request.Exclude = []string{"primary"}
+	_, err := r.Choose(request)
+	var notRun *fault.NotRun
+	assert.Assert(t, errors.As(err, &notRun))
+	assert.Equal(t, notRun.Reason, fault.ReasonNoUpstream)
+}
+
+func TestOldReplicaReturnsOnlyAtFourFifthsOfTheAge(t *testing.T) {
+	r, _ := newRouter()
+	request := read(view())
+	r.Observe(hint("near", 100*time.Millisecond, 1))
+	assert.Equal(t, chosen(t, r, request), "far")
+	r.Observe(hint("near", 90*time.Millisecond, 1))
+	assert.Equal(t, chosen(t, r, request), "far")
+	r.Observe(hint("near", 79*time.Millisecond, 1))
+	assert.Equal(t, chosen(t, r, request), "near")
+}
+
+func TestOldHintIsForgottenAndTheReplicaIsTriedAgain(t *testing.T) {
+	r, c := newRouter()
+	r.Observe(hint("near", time.Hour, 1))
+	assert.Equal(t, chosen(t, r, read(view())), "far")
+	c.advance(2 * time.Second)
+	assert.Equal(t, chosen(t, r, read(view())), "near")
+}
+
+func TestReplicaWithoutTheSessionPositionIsAwaitedOrAvoided(t *testing.T) {
+	r, _ := newRouter()
+	request := read(view())
+	request.Exclude = []string{"far"}
+	request.Min = upstream.Position{Term: 1, Offset: 10}
+	r.Observe(hint("near", 30*time.Millisecond, 9))
+	choice, err := r.Choose(request)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream.Name, "near")
+	assert.Equal(t, choice.Delay, 30*time.Millisecond)
+	request.Remaining = 40 * time.Millisecond
+	assert.Equal(t, chosen(t, r, request), "primary")
+	request.SinceMin = 35 * time.Millisecond
+	assert.Equal(t, chosen(t, r, request), "near")
+}
+
+func TestRefusalAsStaleIsLearned(t *testing.T) {
+	r, c := newRouter()
+	request := read(view())
+	r.Stale("near", request)
+	assert.Equal(t, chosen(t, r, request), "far")
+	c.advance(time.Second)
+	assert.Equal(t, chosen(t, r, request), "near")
+	request.Min = upstream.Position{Term: 1, Offset: 10}
+	request.SinceMin = time.Second
+	r.Stale("near", request)
+	assert.Equal(t, chosen(t, r, request), "far")
+}
+
+func TestBusyReplicaLosesToIdleOneAndPrimaryHelps(t *testing.T) {
+	r, _ := newRouter()
+	busy := hint("near", 0, 1)
+	busy.ExpectedWait = 200 * time.Millisecond
+	r.Observe(busy)
+	assert.Equal(t, chosen(t, r, read(view())), "far")
+	request := read(view())
+	request.Exclude = []string{"far"}
+	assert.Equal(t, chosen(t, r, request), "near")
+	request.Remaining = 300 * time.Millisecond
+	assert.Equal(t, chosen(t, r, request), "primary")
+}
