--- a/caller/pgcaller/fake_test.go
+++ b/caller/pgcaller/fake_test.go
@@ -58,6 +58,9 @@
 	// answer overrides the answer to a text; it returns false for the default.
 	answer func(ctx context.Context, text string, sink upstream.Sink) (handled bool, err error)
 
+	// skipReady leaves ReadyForQuery to answer.
+	skipReady bool
+
 	mu        sync.Mutex
 	executed  []execution // guarded by mu
 	closed    int         // guarded by mu
@@ -180,6 +183,9 @@
 }
 
 func (r *fakeRun) ready() {
+	if r.stream.owner.skipReady {
+		return
+	}
 	status := map[upstream.TransactionState]byte{upstream.StateIdle: 'I', upstream.StateOpen: 'T', upstream.StateFailed: 'E'}
 	r.send(&pgproto3.ReadyForQuery{TxStatus: status[r.stream.state]})
 }
