--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,6 +30,8 @@
 	answering bool
 	// refusal is the last refusal by an owner.
 	refusal error
+	// unknown is the last unknown outcome of a try; nil if there was none.
+	unknown error
 	// chosen and asked describe the last try.
 	chosen route.Choice
 	asked  route.Request
@@ -66,8 +68,13 @@
 	}
 }
 
-// cause prefers an owner's refusal over the fact that no upstream is left.
+// cause returns the error for the caller. Once a try had an unknown outcome, a
+// later refusal does not prove that the request did not run. Otherwise an
+// owner's refusal says more than the fact that no upstream is left.
 func (a *attempt) cause(err error) error {
+	if a.unknown != nil && reasonOf(err) != fault.ReasonAlreadyCommitted {
+		return a.unknown
+	}
 	if a.refusal != nil && reasonOf(err) == fault.ReasonNoUpstream {
 		return a.refusal
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -78,6 +78,25 @@
 	assert.Equal(t, s.RequestID(), "")
 }
 
+func TestRefusalAfterAnUnknownOutcomeIsNeverReportedAsNotRun(t *testing.T) {
+	for _, text := range []string{"insert into t", "select 1"} {
+		tries := 0
+		h := newHarness(t, func(context.Context, try, upstream.Sink) (exchange.Done, error) {
+			tries++
+			if tries == 1 {
+				return unknownOutcome()
+			}
+			return notRun(fault.ReasonQueueFull)
+		})
+		s := h.session(t, "report")
+		assert.NilError(t, s.SetRequestID("order-1"))
+		_, err := s.Run(t.Context(), request(text), discard)
+		var unknown *fault.OutcomeUnknown
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		assert.Assert(t, tries > 1)
+	}
+}
+
 func TestRequestIDSurvivesABatchThatOnlyPrepares(t *testing.T) {
 	h := newHarness(t, func(context.Context, try, upstream.Sink) (exchange.Done, error) { return idle() })
 	s := h.session(t, "current")
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -102,6 +102,7 @@
 
 // againUnknown retries where a second run is harmless.
 func (a *attempt) againUnknown(ctx context.Context, unknown *fault.OutcomeUnknown, changed <-chan struct{}) bool {
+	a.unknown = unknown
 	if a.answered() {
 		// The caller has a part of the first answer.
 		return false
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -51,7 +51,7 @@
 		options.Scheme = "http"
 	}
 	return &Client{
-		http:    options.HTTP,
+		http:    coalesced(options.HTTP),
 		scheme:  options.Scheme,
 		log:     logging.For(options.Log, "exchange client"),
 		metrics: metrics.OrNoop(options.Metrics),
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -169,6 +170,10 @@
 func (l *link) receive(sink upstream.Sink) (Done, error) {
 	for {
 		response, err := l.stream.Receive()
+		if err != nil && unprocessed(err) {
+			l.broken = true
+			return Done{}, &fault.NotRun{Reason: fault.ReasonShutdown, Detail: "owner did not take the stream"}
+		}
 		if err != nil {
 			return Done{}, l.breakOff("stream to owner broke", err)
 		}
@@ -190,6 +195,15 @@
 	}
 }
 
+// goAwayText is net/http's error for a stream whose number lies beyond the last
+// one that a closing server says it will process. net/http exports no error to
+// compare with.
+const goAwayText = "http2: Transport received Server's graceful shutdown GOAWAY"
+
+// unprocessed reports whether the server has said that it never started the
+// stream's handler, so that nothing sent on the stream can have run.
+func unprocessed(err error) bool { return strings.Contains(err.Error(), goAwayText) }
+
 // breakOff marks the link as unusable. The batch was sent, so it may have run.
 func (l *link) breakOff(detail string, err error) error {
 	l.broken = true
