Bound connecting to an owner and the window of one answer

Connecting to an owner that does not answer was bounded only by TCP. A caller that reads slowly could hold a sixteenth of the window that all exchanges with an owner share; now a sixty-fourth.

--- a/caller/pgcaller/server.go
+++ b/caller/pgcaller/server.go
@@ -26,7 +26,7 @@
 	DefaultMaxMessage     = 16 << 20
 	DefaultStartupTimeout = 10 * time.Second
 	DefaultReadTimeout    = 30 * time.Second
-	DefaultWriteTimeout   = 30 * time.Second
+	DefaultWriteTimeout   = 10 * time.Second
 	DefaultMaxCallers     = 50_000
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,7 @@
 func (e *Entry) Open(database, caller string) (*Session, error) {
 	view, err := e.view()
 	if err != nil {
-		return nil, err
+		return nil, e.final(err, "", 0)
 	}
 	if _, known := view.Groups[database]; !known {
 		return nil, &UnknownDatabase{Database: database}
--- a/entry/session.go
+++ b/entry/session.go
@@ -42,7 +42,7 @@
 func (s *Session) SetClass(name string) error {
 	view, err := s.entry.view()
 	if err != nil {
-		return err
+		return s.entry.final(err, name, 0)
 	}
 	if _, err := classOf(view, name); err != nil {
 		return err
@@ -132,11 +132,11 @@
 	requestID := s.takeRequestID(request)
 	view, err := s.entry.view()
 	if err != nil {
-		return Reply{}, err
+		return Reply{}, s.entry.final(err, s.className, 0)
 	}
 	c, err := classOf(view, s.className)
 	if err != nil {
-		return Reply{}, err
+		return Reply{}, s.entry.final(err, s.className, 0)
 	}
 	a := newAttempt(s, request, requestID, c, sink)
 	done, err := a.run(ctx)
--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -14,8 +15,12 @@
 	// maxStreams is how many exchanges one entry proxy may have open with one
 	// owner. The owner's queue limits come into force well below it.
 	maxStreams = 100_000
-	// streamWindow and connectionWindow bound the answer bytes in flight.
-	streamWindow     = 256 << 10
+	// dialTimeout bounds the connecting to an owner that does not answer.
+	dialTimeout = 2 * time.Second
+	// streamWindow and connectionWindow bound the answer bytes in flight. All
+	// exchanges with an owner share a connection, so callers that read slowly
+	// must not use its window up: it holds 64 full streams.
+	streamWindow     = 64 << 10
 	connectionWindow = 4<<20 - 1
 )
 
@@ -26,6 +31,7 @@
 		StrictMaxConcurrentRequests:   true,
 		SendPingTimeout:               pingAfter,
 		PingTimeout:                   pingTimeout,
+		WriteByteTimeout:              pingAfter + pingTimeout,
 		MaxReceiveBufferPerStream:     streamWindow,
 		MaxReceiveBufferPerConnection: connectionWindow,
 	}
@@ -36,7 +42,12 @@
 func NewHTTPClient() *http.Client {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{Protocols: &protocols, HTTP2: HTTP2Config()}}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:   &protocols,
+		HTTP2:       HTTP2Config(),
+		DialContext: dialer.DialContext,
+	}}
 }
 
 // ConfigureServer makes an HTTP server accept plaintext HTTP/2 besides
