--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,158 @@
+// Package admin is the operators' client of the control hosts.
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovageslip/class"
+	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+)
+
+// attemptTimeout bounds one call to one control host.
+const attemptTimeout = 3 * time.Second
+
+// Unreachable reports that no control host answered. A change may have been
+// accepted; resending it with the same change id is safe.
+type Unreachable struct {
+	ChangeID string
+	Hosts    []string
+	Err      error
+}
+
+func (e *Unreachable) Error() string {
+	text := "no control host answered (" + strings.Join(e.Hosts, ", ") + "): " + e.Err.Error()
+	if e.ChangeID != "" {
+		text += "; the change may have been accepted, resend it with --change-id " + e.ChangeID
+	}
+	return text
+}
+
+func (e *Unreachable) Unwrap() error { return e.Err }
+
+// Conflict reports that another change took the expected version.
+type Conflict struct {
+	Expected uint64
+	Winner   *lovageslipv1.ClassChange
+}
+
+func (e *Conflict) Error() string {
+	text := "another change came first"
+	if e.Winner != nil {
+		text += ": " + e.Winner.GetChangeId() + " by " + e.Winner.GetOperator() + " to class " + e.Winner.GetClass().GetName()
+	}
+	return text
+}
+
+// Rejected reports a change that is not valid.
+type Rejected struct {
+	Problems []string
+}
+
+func (e *Rejected) Error() string { return strings.Join(e.Problems, "\n") }
+
+// Client calls the control hosts in turn until one answers. It is safe for
+// concurrent use.
+type Client struct {
+	hosts   []string
+	clients []lovageslipv1connect.ControlServiceClient
+}
+
+// New returns a client of the control hosts at the given addresses.
+func New(httpClient *http.Client, scheme string, hosts []string) *Client {
+	c := &Client{hosts: hosts}
+	for _, host := range hosts {
+		c.clients = append(c.clients, lovageslipv1connect.NewControlServiceClient(httpClient, scheme+"://"+host))
+	}
+	return c
+}
+
+// Change is a change to one class.
+type Change struct {
+	// ChangeID identifies the change when it is resent; empty to make one.
+	ChangeID string
+	// Expected is the version that the operator saw; zero to take the current one.
+	Expected uint64
+	Class    class.Class
+	Remove   bool
+	DryRun   bool
+	Operator string
+}
+
+// ChangeClass makes a change. Resending it after *Unreachable with the same
+// change id is safe: the control hosts return the first answer.
+// Errors: *Unreachable, *Conflict, *Rejected.
+func (c *Client) ChangeClass(ctx context.Context, change Change) (version uint64, err error) {
+	if change.ChangeID == "" {
+		change.ChangeID = rand.Text()
+	}
+	if change.Expected == 0 {
+		classes, err := c.ListClasses(ctx)
+		if err != nil {
+			return 0, err
+		}
+		change.Expected = classes.GetVersion()
+	}
+	request := &lovageslipv1.ChangeClassRequest{
+		ChangeId:        change.ChangeID,
+		ExpectedVersion: change.Expected,
+		Class:           toMessage(change.Class),
+		Remove:          change.Remove,
+		DryRun:          change.DryRun,
+		Operator:        change.Operator,
+	}
+	response, err := call(ctx, c, change.ChangeID, request, lovageslipv1connect.ControlServiceClient.ChangeClass)
+	if err != nil {
+		return 0, err
+	}
+	if len(response.GetProblems()) > 0 {
+		return 0, &Rejected{Problems: response.GetProblems()}
+	}
+	if response.GetConflict() {
+		return 0, &Conflict{Expected: change.Expected, Winner: response.GetWinner()}
+	}
+	return response.GetVersion(), nil
+}
+
+func toMessage(c class.Class) *lovageslipv1.Class {
+	return &lovageslipv1.Class{Name: c.Name, WaitMicros: c.Wait.Microseconds(), AgeMicros: c.Age.Microseconds()}
+}
+
+// ListClasses returns the classes and their version.
+func (c *Client) ListClasses(ctx context.Context) (*lovageslipv1.ListClassesResponse, error) {
+	return call(ctx, c, "", &lovageslipv1.ListClassesRequest{}, lovageslipv1connect.ControlServiceClient.ListClasses)
+}
+
+// History returns the latest changes, newest first.
+func (c *Client) History(ctx context.Context, limit uint32) (*lovageslipv1.HistoryResponse, error) {
+	return call(ctx, c, "", &lovageslipv1.HistoryRequest{Limit: limit}, lovageslipv1connect.ControlServiceClient.History)
+}
+
+// Status returns the state of the system.
+func (c *Client) Status(ctx context.Context) (*lovageslipv1.StatusResponse, error) {
+	return call(ctx, c, "", &lovageslipv1.StatusRequest{}, lovageslipv1connect.ControlServiceClient.Status)
+}
+
+type method[Q, R any] func(lovageslipv1connect.ControlServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
+
+// call tries each control host once. Every call is safe to repeat: reads have
+// no effect, and a change carries its change id.
+func call[Q, R any](ctx context.Context, c *Client, changeID string, request *Q, m method[Q, R]) (*R, error) {
+	var last error
+	for _, client := range c.clients {
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		response, err := m(client, attempt, connect.NewRequest(request))
+		cancel()
+		if err == nil {
+			return response.Msg, nil
+		}
+		last = err
+	}
+	return nil, &Unreachable{ChangeID: changeID, Hosts: c.hosts, Err: last}
+}
