--- a/admin/admin.go
+++ b/admin/admin.go
@@ -61,14 +61,16 @@
 // concurrent use.
 type Client struct {
 	hosts   []string
-	clients []lovageslipv1connect.ControlServiceClient
+	control []lovageslipv1connect.ControlServiceClient
+	members []lovageslipv1connect.MemberServiceClient
 }
 
 // New returns a client of the control hosts at the given addresses.
 func New(httpClient *http.Client, scheme string, hosts []string) *Client {
 	c := &Client{hosts: hosts}
 	for _, host := range hosts {
-		c.clients = append(c.clients, lovageslipv1connect.NewControlServiceClient(httpClient, scheme+"://"+host))
+		c.control = append(c.control, lovageslipv1connect.NewControlServiceClient(httpClient, scheme+"://"+host))
+		c.members = append(c.members, lovageslipv1connect.NewMemberServiceClient(httpClient, scheme+"://"+host))
 	}
 	return c
 }
@@ -139,13 +141,43 @@
 	return call(ctx, c, "", &lovageslipv1.StatusRequest{}, lovageslipv1connect.ControlServiceClient.Status)
 }
 
-type method[Q, R any] func(lovageslipv1connect.ControlServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
+// ListMembers returns the control hosts.
+func (c *Client) ListMembers(ctx context.Context) (*lovageslipv1.MemberResponse, error) {
+	return callMember(ctx, c, &lovageslipv1.ListMembersRequest{}, lovageslipv1connect.MemberServiceClient.ListMembers)
+}
+
+// AddMember adds a control host as a non-voter; it votes once it has caught up.
+func (c *Client) AddMember(ctx context.Context, name, address string) (*lovageslipv1.MemberResponse, error) {
+	request := &lovageslipv1.AddMemberRequest{Name: name, Address: address}
+	return callMember(ctx, c, request, lovageslipv1connect.MemberServiceClient.AddMember)
+}
+
+// RemoveMember removes a control host.
+func (c *Client) RemoveMember(ctx context.Context, name string) (*lovageslipv1.MemberResponse, error) {
+	request := &lovageslipv1.RemoveMemberRequest{Name: name}
+	return callMember(ctx, c, request, lovageslipv1connect.MemberServiceClient.RemoveMember)
+}
+
+func callMember[Q any](ctx context.Context, c *Client, request *Q,
+	m method[lovageslipv1connect.MemberServiceClient, Q, lovageslipv1.MemberResponse],
+) (*lovageslipv1.MemberResponse, error) {
+	return callEach(ctx, c, c.members, "", request, m)
+}
+
+func call[Q, R any](ctx context.Context, c *Client, changeID string, request *Q,
+	m method[lovageslipv1connect.ControlServiceClient, Q, R],
+) (*R, error) {
+	return callEach(ctx, c, c.control, changeID, request, m)
+}
+
+type method[C, Q, R any] func(C, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
 
-// call tries each control host once. Every call is safe to repeat: reads have
-// no effect, and a change carries its change id.
-func call[Q, R any](ctx context.Context, c *Client, changeID string, request *Q, m method[Q, R]) (*R, error) {
+// callEach tries each control host once. Every call is safe to repeat: reads
+// have no effect, a change carries its change id, and adding or removing a
+// member twice has the effect of doing it once.
+func callEach[C, Q, R any](ctx context.Context, c *Client, clients []C, changeID string, request *Q, m method[C, Q, R]) (*R, error) {
 	var last error
-	for _, client := range c.clients {
+	for _, client := range clients {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		response, err := m(client, attempt, connect.NewRequest(request))
 		cancel()
--- a/cmd/lovageslip/main.go
+++ b/cmd/lovageslip/main.go
@@ -44,6 +44,7 @@
 	Class   classCommand   `cmd:"" help:"State the targets of classes of work."`
 	Status  statusCommand  `cmd:"" help:"Show hosts, upstreams, owners and groups."`
 	History historyCommand `cmd:"" help:"Show accepted changes, newest first."`
+	Member  memberCommand  `cmd:"" help:"List, add and remove control hosts."`
 }
 
 func main() {
