--- /dev/null
+++ b/controlstate/frame.go
@@ -0,0 +1,115 @@
+package controlstate
+
+import (
+	"maps"
+	"sync"
+
+	"lovageslip/class"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/registry"
+	"lovageslip/upstream"
+)
+
+// Frame is one version of the state as messages. It is immutable, and so are
+// the messages. Frames share the messages that did not change between them.
+type Frame struct {
+	Version       uint64
+	ConfigVersion uint64
+	Classes       map[string]*pb.Class
+	Upstreams     map[string]*pb.Upstream
+	Groups        map[string]*pb.Group
+	Hosts         map[string]*pb.Host
+
+	view  func() *registry.View
+	owned func() map[string][]*pb.Upstream
+}
+
+// Frame returns the current frame.
+func (s *State) Frame() *Frame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.frame == nil {
+		s.frame = s.newFrame()
+	}
+	return s.frame
+}
+
+func (s *State) newFrame() *Frame {
+	f := &Frame{
+		Version:       s.version,
+		ConfigVersion: s.configVersion,
+		Classes:       maps.Clone(s.classes),
+		Upstreams:     maps.Clone(s.upstreams),
+		Groups:        maps.Clone(s.groups),
+		Hosts:         maps.Clone(s.hosts),
+	}
+	f.view = sync.OnceValue(f.buildView)
+	f.owned = sync.OnceValue(f.buildOwned)
+	return f
+}
+
+// View returns the frame in the form that the request path uses.
+func (f *Frame) View() *registry.View { return f.view() }
+
+// OwnedBy returns the upstreams that a host owns.
+func (f *Frame) OwnedBy(host string) []*pb.Upstream { return f.owned()[host] }
+
+func (f *Frame) buildOwned() map[string][]*pb.Upstream {
+	byOwner := map[string][]*pb.Upstream{}
+	for _, u := range sortedValues(f.Upstreams) {
+		if u.GetOwner() != "" {
+			byOwner[u.GetOwner()] = append(byOwner[u.GetOwner()], u)
+		}
+	}
+	return byOwner
+}
+
+func (f *Frame) buildView() *registry.View {
+	v := &registry.View{
+		Version:       f.Version,
+		ConfigVersion: f.ConfigVersion,
+		Classes:       make(map[string]class.Class, len(f.Classes)),
+		Upstreams:     make(map[string]registry.Upstream, len(f.Upstreams)),
+		Groups:        make(map[string]registry.Group, len(f.Groups)),
+		Hosts:         make(map[string]registry.Host, len(f.Hosts)),
+	}
+	for name, m := range f.Classes {
+		v.Classes[name] = ClassFromMessage(m)
+	}
+	for name, m := range f.Upstreams {
+		v.Upstreams[name] = UpstreamFromMessage(m)
+	}
+	for name, m := range f.Groups {
+		v.Groups[name] = GroupFromMessage(m)
+	}
+	for name, m := range f.Hosts {
+		v.Hosts[name] = registry.Host{Name: m.GetName(), Address: m.GetAddress(), DataCentre: m.GetDataCentre()}
+	}
+	return v
+}
+
+// UpstreamFromMessage converts a registered upstream.
+func UpstreamFromMessage(m *pb.Upstream) registry.Upstream {
+	return registry.Upstream{
+		Name:           m.GetName(),
+		Database:       m.GetDatabase(),
+		Address:        m.GetAddress(),
+		DataCentre:     m.GetDataCentre(),
+		Slots:          int(m.GetSlots()),
+		MaxConnections: int(m.GetMaxConnections()),
+		Leaving:        m.GetLeaving(),
+		Owner:          m.GetOwner(),
+		OwnerEpoch:     m.GetOwnerEpoch(),
+		OwnerAddress:   m.GetOwnerAddress(),
+	}
+}
+
+// GroupFromMessage converts a group. The primary is empty during a change.
+func GroupFromMessage(m *pb.Group) registry.Group {
+	return registry.Group{
+		Database: m.GetDatabase(),
+		Term:     upstream.Term(m.GetTerm()),
+		Primary:  m.GetPrimary(),
+		Members:  m.GetMembers(),
+	}
+}
--- /dev/null
+++ b/controlstate/watch.go
@@ -0,0 +1,91 @@
+package controlstate
+
+import pb "lovageslip/gen/lovageslip/v1"
+
+// Whole returns the frame as the first message of a Watch stream.
+func (f *Frame) Whole() *pb.WatchResponse {
+	return &pb.WatchResponse{
+		Version:       f.Version,
+		ConfigVersion: f.ConfigVersion,
+		Whole:         true,
+		Classes:       sortedValues(f.Classes),
+		Upstreams:     sortedValues(f.Upstreams),
+		Groups:        sortedValues(f.Groups),
+		Hosts:         sortedValues(f.Hosts),
+	}
+}
+
+// Since returns what changed from an earlier frame of the same state to f.
+// Without a change it carries the versions alone.
+func (f *Frame) Since(old *Frame) *pb.WatchResponse {
+	m := &pb.WatchResponse{Version: f.Version, ConfigVersion: f.ConfigVersion}
+	if f.Version == old.Version {
+		return m
+	}
+	m.Classes, m.RemovedClasses = difference(old.Classes, f.Classes)
+	m.Upstreams, m.RemovedUpstreams = difference(old.Upstreams, f.Upstreams)
+	m.Groups, _ = difference(old.Groups, f.Groups)
+	m.Hosts, m.RemovedHosts = difference(old.Hosts, f.Hosts)
+	return m
+}
+
+// difference compares by identity, which is exact because messages are shared
+// between frames until they change.
+func difference[M comparable](old, new map[string]M) (changed []M, removed []string) {
+	for _, name := range sortedKeys(new) {
+		if before, ok := old[name]; !ok || before != new[name] {
+			changed = append(changed, new[name])
+		}
+	}
+	for _, name := range sortedKeys(old) {
+		if _, ok := new[name]; !ok {
+			removed = append(removed, name)
+		}
+	}
+	return changed, removed
+}
+
+// FrameOf builds a frame from a whole message.
+func FrameOf(m *pb.WatchResponse) *Frame {
+	s := New(Options{})
+	s.version = m.GetVersion()
+	s.configVersion = m.GetConfigVersion()
+	s.merge(m)
+	return s.newFrame()
+}
+
+// With returns the frame after a message that adds to it.
+func (f *Frame) With(m *pb.WatchResponse) *Frame {
+	s := New(Options{})
+	s.version = m.GetVersion()
+	s.configVersion = m.GetConfigVersion()
+	s.classes, s.upstreams, s.groups, s.hosts = f.Classes, f.Upstreams, f.Groups, f.Hosts
+	next := s.newFrame()
+	s.classes, s.upstreams, s.groups, s.hosts = next.Classes, next.Upstreams, next.Groups, next.Hosts
+	s.merge(m)
+	return next
+}
+
+func (s *State) merge(m *pb.WatchResponse) {
+	for _, c := range m.GetClasses() {
+		s.classes[c.GetName()] = c
+	}
+	for _, u := range m.GetUpstreams() {
+		s.upstreams[u.GetName()] = u
+	}
+	for _, g := range m.GetGroups() {
+		s.groups[g.GetDatabase()] = g
+	}
+	for _, h := range m.GetHosts() {
+		s.hosts[h.GetName()] = h
+	}
+	for _, name := range m.GetRemovedClasses() {
+		delete(s.classes, name)
+	}
+	for _, name := range m.GetRemovedUpstreams() {
+		delete(s.upstreams, name)
+	}
+	for _, name := range m.GetRemovedHosts() {
+		delete(s.hosts, name)
+	}
+}
