--- /dev/null
+++ b/control/controlclient/client.go
@@ -0,0 +1,93 @@
+// Package controlclient holds what callers of ControlService share: the HTTP
+// client, the mark of forwarded calls and the mapping of errors.
+package controlclient
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovageslip/fault"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+)
+
+// ForwardedHeader marks a call that a control host or proxy has forwarded. A
+// control host that is not the leader refuses such a call instead of
+// forwarding it again. Its value is the name of the forwarding host.
+const ForwardedHeader = "Lovageslip-Forwarded"
+
+const (
+	dialTimeout  = 500 * time.Millisecond
+	pingInterval = time.Second
+	pingTimeout  = time.Second
+	idleTimeout  = time.Minute
+)
+
+// NewHTTPClient returns a client for HTTP/2 without TLS. It closes connections
+// that answer no ping for pingTimeout, because a connection may stop
+// responding for good while new ones work.
+func NewHTTPClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}}
+}
+
+// New returns a client of the control host at address (IP number and port).
+func New(client connect.HTTPClient, address string) lovageslipv1connect.ControlServiceClient {
+	return lovageslipv1connect.NewControlServiceClient(client, "http://"+address)
+}
+
+// Unavailable reports that no control host could answer for a quorum. After a
+// call that changes something the change may still take effect; it is safe to
+// send it again.
+type Unavailable struct {
+	Detail string
+	Err    error
+}
+
+func (e *Unavailable) Error() string { return "control unavailable: " + e.Detail }
+
+func (e *Unavailable) Unwrap() error { return e.Err }
+
+// ToConnect maps an error to the wire.
+func ToConnect(err error) error {
+	var ready *connect.Error
+	if err == nil || errors.As(err, &ready) {
+		return err
+	}
+	return connect.NewError(code(err), err)
+}
+
+func code(err error) connect.Code {
+	var invalid *fault.Invalid
+	var unknown *fault.OutcomeUnknown
+	switch {
+	case errors.As(err, &invalid):
+		return connect.CodeInvalidArgument
+	case errors.As(err, &unknown):
+		return connect.CodeAborted
+	}
+	return connect.CodeUnavailable
+}
+
+// FromConnect maps an error of a call back to a typed error.
+func FromConnect(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument:
+		return &fault.Invalid{Field: "request", Allowed: err.Error()}
+	case connect.CodeAborted:
+		return &fault.OutcomeUnknown{Reason: fault.ReasonOutcomeUnknown, Detail: err.Error(), Err: err}
+	}
+	return &Unavailable{Detail: err.Error(), Err: err}
+}
--- /dev/null
+++ b/control/forward.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"lovageslip/control/controlclient"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+)
+
+// answer runs act if this host leads, and otherwise forwards the call to the
+// leader. A call that was forwarded already is never forwarded again.
+func answer[Q, A any](
+	ctx context.Context,
+	s *Server,
+	r *connect.Request[Q],
+	act func(context.Context, *leadership, *Q) (*A, error),
+	call func(lovageslipv1connect.ControlServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) (*connect.Response[A], error) {
+	if l, ok := s.leading(); ok {
+		a, err := act(ctx, l, r.Msg)
+		if err != nil {
+			return nil, controlclient.ToConnect(err)
+		}
+		return connect.NewResponse(a), nil
+	}
+	if r.Header().Get(controlclient.ForwardedHeader) != "" {
+		s.metrics.Counter("forwarded_refused_total").Inc(1)
+		return nil, unavailable("this host does not lead")
+	}
+	return forward(ctx, s, r, call)
+}
+
+func forward[Q, A any](
+	ctx context.Context,
+	s *Server,
+	r *connect.Request[Q],
+	call func(lovageslipv1connect.ControlServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) (*connect.Response[A], error) {
+	name, address, ok := s.consensus.Leader()
+	if !ok || name == s.name {
+		return nil, unavailable("no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timing.ForwardTimeout)
+	defer cancel()
+	passed := connect.NewRequest(r.Msg)
+	passed.Header().Set(controlclient.ForwardedHeader, s.name)
+	s.metrics.Counter("forwarded_total").Inc(1)
+	response, err := call(s.peer(address), ctx, passed)
+	if err != nil {
+		return nil, controlclient.ToConnect(controlclient.FromConnect(err))
+	}
+	return connect.NewResponse(response.Msg), nil
+}
+
+func unavailable(detail string) error {
+	return controlclient.ToConnect(&controlclient.Unavailable{Detail: detail})
+}
+
+func (s *Server) peer(address string) lovageslipv1connect.ControlServiceClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, ok := s.peers[address]
+	if !ok {
+		client = controlclient.New(s.client, address)
+		s.peers[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovageslip/control/controlclient"
+	"lovageslip/controlstate"
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// watchSpacing is the least time between two messages with changes, so that a
+// burst of changes is sent as one message.
+const watchSpacing = 20 * time.Millisecond
+
+// Watch streams the state of this host after a quorum has confirmed it.
+func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest], stream *connect.ServerStream[pb.WatchResponse]) error {
+	if _, err := s.consensus.ReadIndex(ctx); err != nil {
+		return controlclient.ToConnect(err)
+	}
+	frame := s.state.Frame()
+	if frame.Version < r.Msg.GetVersion() {
+		return unavailable("the caller holds a later version")
+	}
+	s.metrics.Counter("watches_total").Inc(1)
+	if err := stream.Send(firstMessage(frame, r.Msg.GetVersion())); err != nil {
+		return err
+	}
+	return s.follow(ctx, frame, stream.Send)
+}
+
+// firstMessage spares a caller that holds this version already the whole
+// state: equal versions mean equal states.
+func firstMessage(frame *controlstate.Frame, held uint64) *pb.WatchResponse {
+	if held != 0 && held == frame.Version {
+		return frame.Since(frame)
+	}
+	return frame.Whole()
+}
+
+func (s *Server) follow(ctx context.Context, sent *controlstate.Frame, send func(*pb.WatchResponse) error) error {
+	ticker := time.NewTicker(s.timing.WatchInterval)
+	defer ticker.Stop()
+	for {
+		changed := s.state.Changed()
+		next := s.state.Frame()
+		if next.Version != sent.Version {
+			if err := send(s.deltas.between(sent, next)); err != nil {
+				return err
+			}
+			sent = next
+			if err := sleep(ctx, watchSpacing); err != nil {
+				return err
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-ticker.C:
+			if err := send(sent.Since(sent)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// deltaCache shares a difference among the streams that are at one version.
+type deltaCache struct {
+	// mu guards the fields below.
+	mu       sync.Mutex
+	from, to *controlstate.Frame
+	message  *pb.WatchResponse
+}
+
+func (c *deltaCache) between(from, to *controlstate.Frame) *pb.WatchResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.message == nil || c.from != from || c.to != to {
+		c.from, c.to, c.message = from, to, to.Since(from)
+	}
+	return c.message
+}
--- /dev/null
+++ b/failover/change.go
@@ -0,0 +1,229 @@
+package failover
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+
+	"lovageslip/controlstate"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// majority returns how many members of g make a majority.
+func majority(g *pb.Group) int { return len(g.GetMembers())/2 + 1 }
+
+// membersOf returns the registered members of a group.
+func membersOf(frame *controlstate.Frame, g *pb.Group) []*pb.Upstream {
+	var members []*pb.Upstream
+	for _, name := range g.GetMembers() {
+		if u, ok := frame.Upstreams[name]; ok {
+			members = append(members, u)
+		}
+	}
+	return members
+}
+
+// proceed continues a change of primary from its logged step to its end.
+func (s *Supervisor) proceed(ctx context.Context, database string) error {
+	for {
+		frame := s.journal.Frame()
+		g := frame.Groups[database]
+		var err error
+		switch g.GetStep() {
+		case pb.PromotionStep_PROMOTION_STEP_STARTED:
+			err = s.choose(ctx, frame, g)
+		case pb.PromotionStep_PROMOTION_STEP_CHOSEN:
+			err = s.install(ctx, frame, g)
+		default:
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// begin logs the start of a change at a term and carries it out.
+func (s *Supervisor) begin(ctx context.Context, g *pb.Group, term upstream.Term, reason string) error {
+	if err := s.logStart(ctx, g, term, reason); err != nil {
+		return err
+	}
+	return s.proceed(ctx, g.GetDatabase())
+}
+
+func (s *Supervisor) logStart(ctx context.Context, g *pb.Group, term upstream.Term, reason string) error {
+	s.metrics.Tagged(map[string]string{"reason": reason}).Counter("changes_started_total").Inc(1)
+	s.log.Info("change of primary started", "database", g.GetDatabase(), "term", term, "old_primary", g.GetPrimary(), "reason", reason)
+	return s.step(ctx, g, "started", &pb.Command{Command: &pb.Command_PromotionStarted{
+		PromotionStarted: &pb.PromotionStarted{Database: g.GetDatabase(), Term: uint64(term)},
+	}})
+}
+
+func (s *Supervisor) step(ctx context.Context, g *pb.Group, name string, cmd *pb.Command) error {
+	applied, err := s.journal.Propose(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	if !applied {
+		return &StepRefused{Database: g.GetDatabase(), Step: name}
+	}
+	return nil
+}
+
+// choose fences a majority and logs the most advanced of the fenced members.
+func (s *Supervisor) choose(ctx context.Context, frame *controlstate.Frame, g *pb.Group) error {
+	term := upstream.Term(g.GetTerm())
+	needed := majority(g)
+	replies, err := s.ask(ctx, membersOf(frame, g), askFence(term), atLeast(needed))
+	if err != nil {
+		return err
+	}
+	if higher := highestFence(replies); higher > term {
+		return s.logStart(ctx, g, higher+1, "fenced_higher")
+	}
+	fenced := succeeded(replies)
+	if len(fenced) < needed {
+		return &NoMajority{Database: g.GetDatabase(), Answered: len(fenced), Needed: needed}
+	}
+	best := pick(fenced, s.eligible(frame, g, fenced), frame)
+	return s.step(ctx, g, "chosen", &pb.Command{Command: &pb.Command_PromotionChosen{
+		PromotionChosen: &pb.PromotionChosen{Database: g.GetDatabase(), Term: g.GetTerm(), Upstream: best.name},
+	}})
+}
+
+// eligible leaves out leaving members if the others are sure to hold all that
+// was acknowledged: so many are fenced that they meet every majority, and
+// nothing acknowledged under earlier members is missing (settled).
+func (s *Supervisor) eligible(frame *controlstate.Frame, g *pb.Group, fenced []reply) []reply {
+	var staying []reply
+	for _, r := range fenced {
+		if !frame.Upstreams[r.name].GetLeaving() {
+			staying = append(staying, r)
+		}
+	}
+	meetsEvery := len(g.GetMembers()) - majority(g) + 1
+	if len(staying) >= meetsEvery && s.factsOf(g.GetDatabase()).settled {
+		return staying
+	}
+	return fenced
+}
+
+// pick returns the most advanced reply; among equals one that stays, then the
+// first name.
+func pick(fenced, eligible []reply, frame *controlstate.Frame) reply {
+	candidates := eligible
+	if len(candidates) == 0 {
+		candidates = fenced
+	}
+	return slices.MaxFunc(candidates, func(a, b reply) int {
+		return cmp.Or(
+			compare(a.status, b.status),
+			staying(frame, a.name)-staying(frame, b.name),
+			cmp.Compare(b.name, a.name),
+		)
+	})
+}
+
+func staying(frame *controlstate.Frame, name string) int {
+	if frame.Upstreams[name].GetLeaving() {
+		return 0
+	}
+	return 1
+}
+
+// compare orders by the term of the last entry, then by offset. The term that
+// a server follows says nothing of its log: a returning primary may follow a
+// new term and still hold entries past the fork.
+func compare(a, b upstream.Status) int {
+	return cmp.Or(cmp.Compare(lastTerm(a), lastTerm(b)), cmp.Compare(a.Offset, b.Offset))
+}
+
+func lastTerm(status upstream.Status) upstream.Term {
+	if len(status.History) == 0 {
+		return status.Term
+	}
+	return status.History[len(status.History)-1].Term
+}
+
+// install promotes the chosen upstream, orders the others to follow it and
+// logs the end.
+func (s *Supervisor) install(ctx context.Context, frame *controlstate.Frame, g *pb.Group) error {
+	chosen, registered := frame.Upstreams[g.GetChosen()]
+	if !registered {
+		return s.logStart(ctx, g, upstream.Term(g.GetTerm())+1, "chosen_removed")
+	}
+	if err := s.promote(ctx, g, chosen); err != nil {
+		return s.afterFailedPromotion(ctx, g, err)
+	}
+	if _, err := s.orderFollow(ctx, g, chosen, followers(frame, g, chosen.GetName())); err != nil {
+		return err
+	}
+	err := s.step(ctx, g, "finished", &pb.Command{Command: &pb.Command_PromotionFinished{
+		PromotionFinished: &pb.PromotionFinished{Database: g.GetDatabase(), Term: g.GetTerm()},
+	}})
+	if err != nil {
+		return err
+	}
+	s.metrics.Counter("changes_finished_total").Inc(1)
+	s.log.Info("change of primary finished", "database", g.GetDatabase(), "term", g.GetTerm(), "primary", chosen.GetName())
+	return nil
+}
+
+// promote may be repeated after a lost answer, because the upstream does
+// nothing at a term that it leads already.
+func (s *Supervisor) promote(ctx context.Context, g *pb.Group, chosen *pb.Upstream) error {
+	term := upstream.Term(g.GetTerm())
+	replies, err := s.ask(ctx, []*pb.Upstream{chosen}, askPromote(term), never)
+	if err != nil {
+		return err
+	}
+	if r := replies[0]; r.err != nil && r.fenced > term {
+		return &CallRefused{Upstream: r.name, Call: "become primary", Fenced: uint64(r.fenced)}
+	}
+	return replies[0].err
+}
+
+// afterFailedPromotion starts again at a higher term if the chosen upstream
+// has refused or has failed too often.
+func (s *Supervisor) afterFailedPromotion(ctx context.Context, g *pb.Group, cause error) error {
+	if refused, ok := asRefused(cause); ok && refused.Fenced > g.GetTerm() {
+		return s.logStart(ctx, g, upstream.Term(refused.Fenced)+1, "fenced_higher")
+	}
+	failures := 0
+	s.remember(s.factsOf(g.GetDatabase()).watch, func(f *groupFacts) {
+		f.promoteFailures++
+		failures = f.promoteFailures
+	})
+	if failures < promoteTries {
+		return cause
+	}
+	s.remember(s.factsOf(g.GetDatabase()).watch, func(f *groupFacts) { f.promoteFailures = 0 })
+	return s.logStart(ctx, g, upstream.Term(g.GetTerm())+1, "chosen_lost")
+}
+
+// followers returns all registered upstreams of the database but the primary.
+// Those that are not members follow too; they only do not count.
+func followers(frame *controlstate.Frame, g *pb.Group, primary string) []*pb.Upstream {
+	var others []*pb.Upstream
+	for _, u := range frame.Upstreams {
+		if u.GetDatabase() == g.GetDatabase() && u.GetName() != primary {
+			others = append(others, u)
+		}
+	}
+	slices.SortFunc(others, func(a, b *pb.Upstream) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return others
+}
+
+// orderFollow waits for as many as make a majority with the primary. The rest
+// is repaired later.
+func (s *Supervisor) orderFollow(ctx context.Context, g *pb.Group, primary *pb.Upstream, others []*pb.Upstream) ([]reply, error) {
+	order := askFollow(upstream.Term(g.GetTerm()), primary.GetAddress())
+	return s.ask(ctx, others, order, atLeast(majority(g)-1))
+}
+
+func asRefused(err error) (*CallRefused, bool) {
+	var refused *CallRefused
+	return refused, errors.As(err, &refused)
+}
--- /dev/null
+++ b/failover/failover.go
@@ -0,0 +1,209 @@
+// Package failover replaces the primary of a group. It is driven by the
+// control leader: each step is logged before it takes effect, so that another
+// leader can continue from the logged step.
+//
+// # Majorities while members change
+//
+// A write is acknowledged once a majority of the members in the owner's view
+// has it, and a new primary is chosen from a majority of the logged members
+// that are fenced. Both use len(members)/2+1. Members are changed one at a
+// time, because any majority of a set meets any majority of a set that differs
+// by one member. Before the next change (see settle):
+//
+//   - one lease has passed since the last change was logged, so no owner with
+//     a lease still counts by the members before it, and
+//   - a majority of the present members follows the present term and has
+//     everything that the primary had after that moment, so whatever was
+//     acknowledged under earlier members is held by a majority of these.
+//
+// Members do not change during a change of primary. Upstreams that announce
+// themselves before the group has had its first primary are members at once.
+// Later ones become members when they have caught up. An upstream that leaves
+// stops being a member, unless it is the primary, which is replaced first. A
+// member that has been unreachable for long is removed only while at least
+// three members remain and a majority has caught up.
+package failover
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/controlstate"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/upstream"
+)
+
+const (
+	// callTimeout bounds a call to an upstream, with dialing.
+	callTimeout = 300 * time.Millisecond
+	// lossTime is how long a primary must be unreachable. A shorter time
+	// raises false alarms at 40 ms round trips with 20 ms jitter.
+	lossTime = time.Second
+	// reportAge is how old a report may be: three heartbeats.
+	reportAge = 1500 * time.Millisecond
+	// adoptTime lets the members of a new group announce themselves before
+	// the group adopts its primary, so that they need not be added later.
+	adoptTime = time.Second
+	// electTime is longer than adoptTime: an election in a new group may
+	// discard what a member that is still silent holds.
+	electTime = 5 * time.Second
+	// straggleTime is how long answers beyond a majority are waited for.
+	straggleTime = 50 * time.Millisecond
+	// deadTime is how long a member must be unreachable to be removed.
+	deadTime = 10 * time.Minute
+	// goneTime is how long a leaving upstream must be unreachable until its
+	// registration is removed.
+	goneTime = time.Minute
+	// minMembers is how many members must remain when a dead one is removed.
+	minMembers = 3
+	// promoteTries is how often the chosen upstream is asked before the
+	// procedure starts again at the next term.
+	promoteTries = 3
+
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Report is an owner's report on an upstream, as the leader received it.
+type Report struct {
+	// At is when the leader received it.
+	At        time.Time
+	Reachable bool
+	// Unreachable is the time since the last answer, if not Reachable.
+	Unreachable time.Duration
+	Primary     bool
+	Term        upstream.Term
+	Offset      upstream.Offset
+	// PrimaryContactAge is the time since a replica heard from its primary.
+	PrimaryContactAge time.Duration
+}
+
+// Journal is the replicated record as one leader sees it. It is bound to one
+// term of the control log: Propose fails once that term has ended.
+type Journal interface {
+	// Leading reports whether the term still holds.
+	Leading() bool
+	// Frame returns the current state.
+	Frame() *controlstate.Frame
+	// Propose logs a command. applied is false if a guard refused it. After
+	// an error the command may still be applied.
+	Propose(ctx context.Context, cmd *pb.Command) (applied bool, err error)
+	// Report returns the latest report on an upstream.
+	Report(name string) (Report, bool)
+}
+
+// Options configures a Supervisor.
+type Options struct {
+	Log     *slog.Logger
+	Metrics tally.Scope
+	Dialer  upstream.Dialer
+	Journal Journal
+	// LeaseExpiry is how long after a change of the state an owner with a
+	// lease may still act on the state before it.
+	LeaseExpiry time.Duration
+	// Now replaces the clock; time.Now if nil.
+	Now func() time.Time
+}
+
+// Supervisor watches all groups for one leader term. Tick is called by one
+// goroutine; it starts at most one action per group at a time.
+type Supervisor struct {
+	log     *slog.Logger
+	metrics tally.Scope
+	dialer  upstream.Dialer
+	journal Journal
+	expiry  time.Duration
+	now     func() time.Time
+	running conc.WaitGroup
+
+	// mu guards groups and the fields of each.
+	mu     sync.Mutex
+	groups map[string]*groupWatch
+}
+
+// New returns a supervisor for one leader term.
+func New(o Options) *Supervisor {
+	now := o.Now
+	if now == nil {
+		now = time.Now
+	}
+	return &Supervisor{
+		log:     logging.For(o.Log, "failover"),
+		metrics: metrics.OrNoop(o.Metrics).SubScope("failover"),
+		dialer:  o.Dialer,
+		journal: o.Journal,
+		expiry:  o.LeaseExpiry,
+		now:     now,
+		groups:  map[string]*groupWatch{},
+	}
+}
+
+// Wait returns once all actions have ended. The context of Tick must have
+// ended before.
+func (s *Supervisor) Wait() { s.running.Wait() }
+
+// Tick starts what is due in each group and does not wait for it.
+func (s *Supervisor) Tick(ctx context.Context) {
+	frame := s.journal.Frame()
+	now := s.now()
+	for _, g := range frame.Groups {
+		w, idle := s.observe(g, now)
+		if !idle {
+			continue
+		}
+		if act := s.decide(frame, g, w, now); act != nil {
+			s.start(ctx, w.watch, act)
+		}
+	}
+}
+
+// action is one attempt at what a group needs.
+type action func(context.Context) error
+
+func (s *Supervisor) start(ctx context.Context, w *groupWatch, act action) {
+	s.mu.Lock()
+	w.busy = true
+	s.mu.Unlock()
+	s.running.Go(func() {
+		err := act(ctx)
+		s.finish(w, err)
+	})
+}
+
+func (s *Supervisor) finish(w *groupWatch, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.busy = false
+	if err == nil {
+		w.backoff = 0
+		return
+	}
+	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
+	w.retryAt = s.now().Add(w.backoff)
+	s.metrics.Counter("attempts_failed_total").Inc(1)
+	s.log.Info("attempt failed", "database", w.database, "err", err, "retry_after", w.backoff)
+}
+
+// decide returns the most urgent action, nil if there is none.
+func (s *Supervisor) decide(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+	switch g.GetStep() {
+	case pb.PromotionStep_PROMOTION_STEP_STARTED, pb.PromotionStep_PROMOTION_STEP_CHOSEN:
+		return func(ctx context.Context) error { return s.proceed(ctx, g.GetDatabase()) }
+	case pb.PromotionStep_PROMOTION_STEP_UNSPECIFIED:
+		return s.decideNew(g, w, now)
+	}
+	if act := s.decideLoss(g, w, now); act != nil {
+		return act
+	}
+	if act := s.decideRepair(frame, g, w, now); act != nil {
+		return act
+	}
+	return s.decideMembers(frame, g, w, now)
+}
--- /dev/null
+++ b/failover/members.go
@@ -0,0 +1,195 @@
+package failover
+
+import (
+	"context"
+	"time"
+
+	"lovageslip/controlstate"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// leavingRetry is how long to wait before a leaving primary is replaced again
+// after a change has chosen it once more.
+const leavingRetry = 5 * time.Second
+
+// memberChange is a change of one member that is wanted.
+type memberChange struct {
+	upstream string
+	remove   bool
+}
+
+// decideMembers replaces a primary that leaves, and changes one member.
+func (s *Supervisor) decideMembers(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+	leaving := frame.Upstreams[g.GetPrimary()].GetLeaving()
+	change, wanted := s.wantedChange(frame, g, now)
+	if !leaving && !wanted {
+		return s.decideRemoval(frame, g, now)
+	}
+	if now.Sub(w.membersAt) < s.expiry {
+		return nil
+	}
+	if !w.settled {
+		return func(ctx context.Context) error { return s.settle(ctx, g, w) }
+	}
+	if leaving && hasSuccessor(frame, g) && now.Sub(w.replacedAt) >= leavingRetry {
+		return func(ctx context.Context) error { return s.replaceLeaving(ctx, g, w) }
+	}
+	if !wanted {
+		return nil
+	}
+	return func(ctx context.Context) error { return s.changeMember(ctx, g, w, change) }
+}
+
+func hasSuccessor(frame *controlstate.Frame, g *pb.Group) bool {
+	for _, u := range membersOf(frame, g) {
+		if !u.GetLeaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// wantedChange adds before it removes, so that a group that is being replaced
+// keeps as many members as it can.
+func (s *Supervisor) wantedChange(frame *controlstate.Frame, g *pb.Group, now time.Time) (memberChange, bool) {
+	for _, u := range followers(frame, g, g.GetPrimary()) {
+		if !u.GetLeaving() && !isMember(g, u.GetName()) && s.canJoin(g, u.GetName(), now) {
+			return memberChange{upstream: u.GetName()}, true
+		}
+	}
+	for _, name := range g.GetMembers() {
+		if name != g.GetPrimary() && (frame.Upstreams[name].GetLeaving() || s.isDead(g, name, now)) {
+			return memberChange{upstream: name, remove: true}, true
+		}
+	}
+	return memberChange{}, false
+}
+
+func isMember(g *pb.Group, name string) bool {
+	for _, m := range g.GetMembers() {
+		if m == name {
+			return true
+		}
+	}
+	return false
+}
+
+// canJoin is true for a replica that reports the present term.
+func (s *Supervisor) canJoin(g *pb.Group, name string, now time.Time) bool {
+	report, fresh := s.freshReport(name, now)
+	return fresh && report.Reachable && uint64(report.Term) == g.GetTerm()
+}
+
+func (s *Supervisor) isDead(g *pb.Group, name string, now time.Time) bool {
+	report, fresh := s.freshReport(name, now)
+	return len(g.GetMembers()) > minMembers && fresh && !report.Reachable && report.Unreachable >= deadTime
+}
+
+// settle checks that a majority of the members holds what the primary had at
+// least one lease after these members came into force.
+func (s *Supervisor) settle(ctx context.Context, g *pb.Group, w groupFacts) error {
+	replies, err := s.ask(ctx, membersOf(s.journal.Frame(), g), askStatus, never)
+	if err != nil {
+		return err
+	}
+	if w.floorTerm == g.GetTerm() {
+		if n := holding(replies, g, w.floor); n < majority(g) {
+			return &NotSettled{Database: g.GetDatabase(), Reason: "no majority has caught up"}
+		}
+		s.remember(w.watch, func(f *groupFacts) { f.settled = true })
+		return nil
+	}
+	for _, r := range replies {
+		if r.name == g.GetPrimary() && leads(replies, g) {
+			s.remember(w.watch, func(f *groupFacts) { f.floor, f.floorTerm = r.status.Position(), g.GetTerm() })
+			return nil
+		}
+	}
+	return &NotSettled{Database: g.GetDatabase(), Reason: "the primary does not answer"}
+}
+
+// holding counts the upstreams that follow the group's term and include p.
+func holding(replies []reply, g *pb.Group, p upstream.Position) int {
+	n := 0
+	for _, r := range replies {
+		if r.err == nil && uint64(r.status.Term) == g.GetTerm() && r.status.Includes(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// changeMember logs a change after it has checked again that a majority
+// answers, and that a new member has caught up with the floor.
+func (s *Supervisor) changeMember(ctx context.Context, g *pb.Group, w groupFacts, change memberChange) error {
+	frame := s.journal.Frame()
+	replies, err := s.ask(ctx, membersOf(frame, g), askStatus, never)
+	if err != nil {
+		return err
+	}
+	if holding(replies, g, w.floor) < majority(g) {
+		return &NotSettled{Database: g.GetDatabase(), Reason: "no majority has caught up"}
+	}
+	if !change.remove {
+		if err := s.caughtUp(ctx, frame, g, w, change.upstream); err != nil {
+			return err
+		}
+	}
+	s.log.Info("member changes", "database", g.GetDatabase(), "upstream", change.upstream, "remove", change.remove)
+	return s.step(ctx, g, "change_member", &pb.Command{Command: &pb.Command_ChangeMember{ChangeMember: &pb.ChangeMember{
+		Database: g.GetDatabase(),
+		Upstream: change.upstream,
+		Remove:   change.remove,
+		Term:     g.GetTerm(),
+	}}})
+}
+
+func (s *Supervisor) caughtUp(ctx context.Context, frame *controlstate.Frame, g *pb.Group, w groupFacts, name string) error {
+	replies, err := s.ask(ctx, []*pb.Upstream{frame.Upstreams[name]}, askStatus, never)
+	if err != nil {
+		return err
+	}
+	if holding(replies, g, w.floor) == 0 {
+		return &NotSettled{Database: g.GetDatabase(), Reason: name + " has not caught up"}
+	}
+	return nil
+}
+
+// replaceLeaving changes the primary while the old one still works. It starts
+// only if a replica that stays follows the present term.
+func (s *Supervisor) replaceLeaving(ctx context.Context, g *pb.Group, w groupFacts) error {
+	s.remember(w.watch, func(f *groupFacts) { f.replacedAt = s.now() })
+	frame := s.journal.Frame()
+	replies, err := s.ask(ctx, membersOf(frame, g), askStatus, never)
+	if err != nil {
+		return err
+	}
+	ready := 0
+	for _, r := range replies {
+		if !frame.Upstreams[r.name].GetLeaving() {
+			ready += holding([]reply{r}, g, w.floor)
+		}
+	}
+	if ready == 0 || len(succeeded(replies)) < majority(g) {
+		return &NoMajority{Database: g.GetDatabase(), Answered: len(succeeded(replies)), Needed: majority(g)}
+	}
+	return s.begin(ctx, g, nextTerm(g, replies), reasonLeaving)
+}
+
+// decideRemoval removes the registration of a leaving upstream that has gone.
+func (s *Supervisor) decideRemoval(frame *controlstate.Frame, g *pb.Group, now time.Time) action {
+	for _, u := range followers(frame, g, g.GetPrimary()) {
+		report, fresh := s.freshReport(u.GetName(), now)
+		gone := fresh && !report.Reachable && report.Unreachable >= goneTime
+		if !u.GetLeaving() || isMember(g, u.GetName()) || !gone {
+			continue
+		}
+		return func(ctx context.Context) error {
+			return s.step(ctx, g, "remove_upstream", &pb.Command{Command: &pb.Command_RemoveUpstream{
+				RemoveUpstream: &pb.RemoveUpstream{Name: u.GetName()},
+			}})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/failover/new.go
@@ -0,0 +1,56 @@
+package failover
+
+import (
+	"context"
+	"time"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// decideNew looks for the first primary of a group.
+func (s *Supervisor) decideNew(g *pb.Group, w groupFacts, now time.Time) action {
+	waited := now.Sub(w.seenAt)
+	if waited < adoptTime {
+		return nil
+	}
+	return func(ctx context.Context) error { return s.found(ctx, g, waited >= electTime) }
+}
+
+// found adopts the primary that leads already. If there is none, and a
+// majority answers, it elects one by a change of primary.
+func (s *Supervisor) found(ctx context.Context, g *pb.Group, elect bool) error {
+	replies, err := s.ask(ctx, membersOf(s.journal.Frame(), g), askStatus, never)
+	if err != nil {
+		return err
+	}
+	good := succeeded(replies)
+	if primary, ok := leader(good); ok {
+		return s.adopt(ctx, g, primary)
+	}
+	if !elect || len(good) < majority(g) {
+		return &NoMajority{Database: g.GetDatabase(), Answered: len(good), Needed: majority(g)}
+	}
+	return s.begin(ctx, g, nextTerm(g, replies), reasonElection)
+}
+
+// leader returns the primary of the highest term, unless an upstream has
+// promised to a higher one.
+func leader(replies []reply) (reply, bool) {
+	var best reply
+	for _, r := range replies {
+		if r.status.Role == upstream.RolePrimary && r.status.Term > best.status.Term {
+			best = r
+		}
+	}
+	return best, best.status.Term > 0 && highestFence(replies) <= best.status.Term
+}
+
+func (s *Supervisor) adopt(ctx context.Context, g *pb.Group, primary reply) error {
+	s.log.Info("primary adopted", "database", g.GetDatabase(), "primary", primary.name, "term", primary.status.Term)
+	return s.step(ctx, g, "adopt", &pb.Command{Command: &pb.Command_AdoptPrimary{AdoptPrimary: &pb.AdoptPrimary{
+		Database: g.GetDatabase(),
+		Term:     uint64(primary.status.Term),
+		Upstream: primary.name,
+	}}})
+}
