Add admission queue, connection pool and owner role, first version

One queue per upstream in order of arrival, a pool with paced dials, and the owner's request path: lease, version and leaving checks, reads checked with the status that precedes them, writes acknowledged only after a majority holds them under the same term. Service times are learned but not yet used by a policy; that follows.

--- /dev/null
+++ b/owner/fake_test.go
@@ -0,0 +1,336 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lovageslip/class"
+	"lovageslip/exchange"
+	"lovageslip/fault"
+	"lovageslip/registry"
+	"lovageslip/upstream"
+)
+
+// server is an upstream in memory.
+type server struct {
+	mu      sync.Mutex // guards all fields
+	status  upstream.Status
+	down    bool
+	ran     []string // payloads of batches that ran
+	opened  int
+	closed  int
+	resets  int
+	running int
+	peak    int
+	// behave is called for each batch instead of answering at once.
+	behave func(c *conn, b upstream.Batch) (upstream.Result, error)
+}
+
+func (s *server) set(f func(*server)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *server) runs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.ran...)
+}
+
+// conn is a connection to a server in memory.
+type conn struct {
+	server *server
+	// ended is closed by Close, cancelled by Cancel.
+	ended, cancelled chan struct{}
+	once, cancelOnce sync.Once
+	broken           bool
+}
+
+func (c *conn) check() (upstream.Status, error) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	select {
+	case <-c.ended:
+		return upstream.Status{}, &fault.IO{Op: "read", Err: context.Canceled}
+	default:
+	}
+	if c.server.down {
+		return upstream.Status{}, &fault.IO{Op: "read", Err: context.DeadlineExceeded}
+	}
+	return c.server.status, nil
+}
+
+func (c *conn) Run(_ context.Context, b upstream.Batch, check upstream.Check, sink upstream.Sink) (upstream.Result, error) {
+	status, err := c.check()
+	if err != nil {
+		return upstream.Result{}, &fault.OutcomeUnknown{Reason: fault.ReasonOutcomeUnknown, Err: err}
+	}
+	c.server.begin(b)
+	defer c.server.end()
+	if b.Mode == upstream.ModeRead && check != nil {
+		if err := check(status); err != nil {
+			return upstream.Result{}, err
+		}
+	}
+	c.server.mu.Lock()
+	behave := c.server.behave
+	c.server.mu.Unlock()
+	if behave != nil {
+		return behave(c, b)
+	}
+	if err := sink([]byte("rows ")); err != nil {
+		return upstream.Result{}, err
+	}
+	return c.server.answer(b), nil
+}
+
+func (s *server) begin(b upstream.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran = append(s.ran, string(b.Payload))
+	s.running++
+	s.peak = max(s.peak, s.running)
+}
+
+func (s *server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// answer commits writes; a payload of "begin" opens a transaction.
+func (s *server) answer(b upstream.Batch) upstream.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := upstream.Result{State: upstream.StateIdle, Tail: []byte("done")}
+	if string(b.Payload) == "begin" || string(b.Payload) == "more" {
+		r.State = upstream.StateOpen
+		return r
+	}
+	if b.Mode == upstream.ModeWrite {
+		s.status.Offset++
+		r.After = s.status
+		r.Committed = true
+	}
+	return r
+}
+
+func (c *conn) Status(context.Context) (upstream.Status, error) { return c.check() }
+
+func (c *conn) Wait(ctx context.Context, p upstream.Position, timeout time.Duration) (upstream.Status, error) {
+	until := time.Now().Add(timeout)
+	for {
+		status, err := c.check()
+		if err != nil || status.Includes(p) || time.Now().After(until) {
+			return status, err
+		}
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return status, ctx.Err()
+		}
+	}
+}
+
+func (c *conn) Fence(context.Context, upstream.Term) (upstream.Status, error) { return c.check() }
+
+func (c *conn) Promote(context.Context, upstream.Term) (upstream.Status, error) { return c.check() }
+
+func (c *conn) Follow(context.Context, upstream.Term, string) (upstream.Status, error) {
+	return c.check()
+}
+
+func (c *conn) Cancel(context.Context) error {
+	c.cancelOnce.Do(func() { close(c.cancelled) })
+	return nil
+}
+
+func (c *conn) Reset(context.Context) error {
+	c.server.set(func(s *server) { s.resets++ })
+	_, err := c.check()
+	return err
+}
+
+func (c *conn) Broken() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.broken
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.ended)
+		c.server.set(func(s *server) { s.closed++ })
+	})
+	return nil
+}
+
+// world is a group of three servers, whose primary is "a", with one owner for
+// all of them. It is the dialer, the directory and the leases at once.
+type world struct {
+	servers map[string]*server
+
+	mu      sync.Mutex // guards the fields below
+	view    *registry.View
+	changed chan struct{}
+	lapsed  bool
+}
+
+var members = []string{"a", "b", "c"}
+
+func newWorld(t *testing.T) (*world, *Owner) {
+	t.Helper()
+	w := &world{servers: map[string]*server{}, changed: make(chan struct{})}
+	view := &registry.View{
+		Version: 1, ConfigVersion: 1,
+		Classes: map[string]class.Class{
+			"now":  {Name: "now", Wait: 2 * time.Second},
+			"soon": {Name: "soon", Wait: 2 * time.Second, Age: time.Second},
+		},
+		Upstreams: map[string]registry.Upstream{},
+		Groups:    map[string]registry.Group{"db": {Database: "db", Term: 1, Primary: "a", Members: members}},
+	}
+	for _, name := range members {
+		role := upstream.RoleReplica
+		if name == "a" {
+			role = upstream.RolePrimary
+		}
+		w.servers[name] = &server{status: upstream.Status{Role: role, Term: 1, Fenced: 1, Offset: 10, History: upstream.History{{Term: 1}}}}
+		view.Upstreams[name] = registry.Upstream{
+			Name: name, Database: "db", Address: name, Slots: 2, MaxConnections: 12, Owner: "host", OwnerEpoch: 1,
+		}
+	}
+	w.view = view
+	o := New(Options{
+		Host: "host", Directory: w, Leases: w, Dialer: w,
+		ConfirmTimeout: 300 * time.Millisecond, SilentAfter: 100 * time.Millisecond,
+	})
+	t.Cleanup(func() { _ = o.Close() })
+	return w, o
+}
+
+func (w *world) Dial(_ context.Context, address, _ string) (upstream.Conn, error) {
+	s := w.servers[address]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable, Detail: "down"}
+	}
+	s.opened++
+	return &conn{server: s, ended: make(chan struct{}), cancelled: make(chan struct{})}, nil
+}
+
+func (w *world) View() *registry.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+func (w *world) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+func (w *world) Lease(string) (registry.Lease, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return registry.Lease{Epoch: 1}, !w.lapsed
+}
+
+func (w *world) ConfigVersion() uint64 { return 1 }
+
+func (w *world) lapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapsed = true
+}
+
+// change publishes a changed copy of the view.
+func (w *world) change(f func(*registry.View)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := *w.view
+	next.Version++
+	next.Upstreams = map[string]registry.Upstream{}
+	for k, v := range w.view.Upstreams {
+		next.Upstreams[k] = v
+	}
+	next.Groups = map[string]registry.Group{"db": w.view.Groups["db"]}
+	f(&next)
+	w.view = &next
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// answer collects what a sink received.
+type answer struct {
+	mu    sync.Mutex
+	bytes []byte
+}
+
+func (a *answer) sink(chunk []byte) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bytes = append(a.bytes, chunk...)
+	return nil
+}
+
+func (a *answer) text() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return string(a.bytes)
+}
+
+func batch(mode upstream.Mode, text string) upstream.Batch {
+	return upstream.Batch{Mode: mode, Payload: []byte(text), WaitRemaining: 2 * time.Second}
+}
+
+func open(t *testing.T, o *Owner, name, class string) exchange.Stream {
+	t.Helper()
+	s, err := o.Open(context.Background(), exchange.Open{Upstream: name, Class: class, ConfigVersion: 1, Caller: "x"})
+	assert.NilError(t, err)
+	return s
+}
+
+// run runs one batch on a new exchange.
+func run(t *testing.T, o *Owner, name, class string, b upstream.Batch) (exchange.Done, string, error) {
+	t.Helper()
+	s := open(t, o, name, class)
+	defer func() { _ = s.Close() }()
+	var a answer
+	done, err := s.Run(context.Background(), b, a.sink)
+	return done, a.text(), err
+}
+
+func reasonOf(err error) fault.Reason {
+	switch e := err.(type) {
+	case *fault.NotRun:
+		return e.Reason
+	case *fault.OutcomeUnknown:
+		return e.Reason
+	}
+	return ""
+}
+
+func isNotRun(err error) bool {
+	_, ok := err.(*fault.NotRun)
+	return ok
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(2*time.Millisecond))
+}
--- /dev/null
+++ b/owner/poll.go
@@ -0,0 +1,112 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lovageslip/upstream"
+)
+
+const (
+	pollInterval = 200 * time.Millisecond
+	pollTimeout  = 300 * time.Millisecond
+)
+
+// poller asks one upstream for its status on a connection of its own.
+type poller struct {
+	dialer   upstream.Dialer
+	address  string
+	database string
+
+	// mu guards all fields below.
+	mu          sync.Mutex
+	status      upstream.Status
+	known       bool
+	statusAt    time.Time // when the query that returned status was sent
+	lastSuccess time.Time
+	failed      bool
+}
+
+func (p *poller) run(ctx context.Context) {
+	var conn upstream.Conn
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		conn = p.poll(ctx, conn)
+		select {
+		case <-ctx.Done():
+			closeConn(conn)
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func closeConn(conn upstream.Conn) {
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// poll returns the connection for the next poll; nil after a failure, so that
+// a connection that went silent is not asked twice.
+func (p *poller) poll(ctx context.Context, conn upstream.Conn) upstream.Conn {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	began := time.Now()
+	if conn == nil {
+		c, err := p.dialer.Dial(ctx, p.address, p.database)
+		if err != nil {
+			p.fail()
+			return nil
+		}
+		conn = c
+		began = time.Now()
+	}
+	status, err := conn.Status(ctx)
+	if err != nil {
+		closeConn(conn)
+		p.fail()
+		return nil
+	}
+	p.observe(status, began)
+	return conn
+}
+
+func (p *poller) fail() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed = true
+}
+
+// observe takes a status that was asked for at the time began.
+func (p *poller) observe(status upstream.Status, began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed = false
+	p.lastSuccess = time.Now()
+	if began.After(p.statusAt) {
+		p.status = status
+		p.statusAt = began
+		p.known = true
+	}
+}
+
+// last returns the latest status and when it was asked for.
+func (p *poller) last() (status upstream.Status, at time.Time, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status, p.statusAt, p.known
+}
+
+// unreachable is how long all queries have failed; zero if the last one
+// succeeded.
+func (p *poller) unreachable() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.failed {
+		return 0
+	}
+	return time.Since(p.lastSuccess)
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,360 @@
+// Package pool keeps the connections of one owner to one upstream. It paces
+// dialing, keeps to the upstream's limit, and hands out only clean
+// connections.
+package pool
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/fault"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/upstream"
+)
+
+const (
+	// Reserved connections of each upstream are left to status queries,
+	// watching and promotion.
+	Reserved = 4
+	// maxDials bounds the dials in progress, so that the loss of all
+	// connections does not flood an upstream that just came back.
+	maxDials = 2
+
+	defaultDialTimeout = 2 * time.Second
+	defaultIdleTimeout = 5 * time.Minute
+	resetTimeout       = 2 * time.Second
+	minRedial          = 20 * time.Millisecond
+	maxRedial          = 500 * time.Millisecond
+	// maxWaiting bounds the requests that wait for a connection.
+	maxWaiting = 1024
+)
+
+// Options configure a Pool.
+type Options struct {
+	Log     *slog.Logger
+	Metrics tally.Scope
+	Dialer  upstream.Dialer
+	// Address is an IP number and port.
+	Address  string
+	Database string
+	// MaxConnections is what the upstream accepts; the pool uses Reserved
+	// fewer, and at least 1.
+	MaxConnections int
+	DialTimeout    time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+}
+
+// Pool holds connections. It is safe for concurrent use.
+type Pool struct {
+	opts    Options
+	log     *slog.Logger
+	metrics tally.Scope
+	ctx     context.Context
+	stop    context.CancelFunc
+	tasks   conc.WaitGroup
+
+	// mu guards all fields below.
+	mu       sync.Mutex
+	limit    int
+	open     int // connections that exist, idle or in use
+	dialing  int
+	idle     []idleConn // the most recently used last
+	waiting  []*request
+	failures int
+	redialAt time.Time
+	closed   bool
+}
+
+type idleConn struct {
+	conn  upstream.Conn
+	since time.Time
+}
+
+// request is a caller of Get that waits.
+type request struct {
+	answer chan answer // buffered, one answer
+}
+
+type answer struct {
+	conn upstream.Conn
+	err  error
+}
+
+// New returns a pool. It dials nothing before the first Get.
+func New(o Options) *Pool {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	p := &Pool{opts: o, log: logging.For(o.Log, "pool"), metrics: metrics.OrNoop(o.Metrics)}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.limit = usable(o.MaxConnections)
+	p.tasks.Go(p.trimLoop)
+	return p
+}
+
+func usable(maxConnections int) int { return max(1, maxConnections-Reserved) }
+
+// SetLimit follows a change of the upstream's max_connections.
+func (p *Pool) SetLimit(maxConnections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = usable(maxConnections)
+	p.dial()
+}
+
+// TryGet returns an idle connection if there is one.
+func (p *Pool) TryGet() (upstream.Conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.takeIdle()
+	return c, c != nil
+}
+
+func (p *Pool) takeIdle() upstream.Conn {
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last].conn
+		p.idle = p.idle[:last]
+		if !c.Broken() {
+			return c
+		}
+		p.lose(c)
+	}
+	return nil
+}
+
+// lose forgets a connection and closes it.
+func (p *Pool) lose(c upstream.Conn) {
+	p.open--
+	go func() { _ = c.Close() }()
+}
+
+// Get returns an idle connection, or waits for one to be returned or dialed.
+// Errors: *fault.NotRun with ReasonUpstreamUnavailable, ReasonQueueFull or
+// ReasonCancelled.
+func (p *Pool) Get(ctx context.Context) (upstream.Conn, error) {
+	r, c, err := p.ask()
+	if r == nil {
+		return c, err
+	}
+	select {
+	case a := <-r.answer:
+		return a.conn, a.err
+	case <-ctx.Done():
+		return nil, p.abandon(r)
+	}
+}
+
+func (p *Pool) ask() (*request, upstream.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, unavailable("the pool is closed", 0)
+	}
+	if c := p.takeIdle(); c != nil {
+		return nil, c, nil
+	}
+	if len(p.waiting) >= maxWaiting {
+		return nil, nil, &fault.NotRun{Reason: fault.ReasonQueueFull, Detail: "too many requests wait for a connection"}
+	}
+	if pause := time.Until(p.redialAt); pause > 0 && p.open == 0 {
+		return nil, nil, unavailable("the upstream cannot be reached", pause)
+	}
+	r := &request{answer: make(chan answer, 1)}
+	p.waiting = append(p.waiting, r)
+	p.dial()
+	return r, nil, nil
+}
+
+func unavailable(detail string, retryAfter time.Duration) *fault.NotRun {
+	return &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable, Detail: detail, RetryAfter: retryAfter}
+}
+
+func (p *Pool) abandon(r *request) error {
+	p.mu.Lock()
+	for i, w := range p.waiting {
+		if w == r {
+			p.waiting = append(p.waiting[:i:i], p.waiting[i+1:]...)
+			break
+		}
+	}
+	p.mu.Unlock()
+	select {
+	case a := <-r.answer:
+		if a.conn != nil {
+			p.Put(a.conn, false)
+		}
+	default:
+	}
+	return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: "left before a connection was free"}
+}
+
+// dial starts as many dials as waiting requests need and the limits allow.
+func (p *Pool) dial() {
+	if p.closed || time.Now().Before(p.redialAt) {
+		return
+	}
+	for p.dialing < min(maxDials, len(p.waiting)) && p.open+p.dialing < p.limit {
+		p.dialing++
+		p.tasks.Go(p.dialOne)
+	}
+}
+
+func (p *Pool) dialOne() {
+	ctx, cancel := context.WithTimeout(p.ctx, p.opts.DialTimeout)
+	defer cancel()
+	c, err := p.opts.Dialer.Dial(ctx, p.opts.Address, p.opts.Database)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	if err != nil {
+		p.dialFailed(err)
+		return
+	}
+	p.metrics.Counter("dialed_total").Inc(1)
+	p.failures = 0
+	p.open++
+	p.offer(c)
+	p.dial()
+}
+
+// dialFailed delays the next dial. Requests wait on only while there are
+// other connections that may be returned.
+func (p *Pool) dialFailed(err error) {
+	p.metrics.Counter("dial_failed_total").Inc(1)
+	pause := min(minRedial<<min(p.failures, 10), maxRedial)
+	pause = pause/2 + rand.N(pause)
+	p.failures++
+	p.redialAt = time.Now().Add(pause)
+	p.log.Warn("dial failed", "address", p.opts.Address, "err", err)
+	time.AfterFunc(pause, p.redial)
+	if p.open > 0 || p.dialing > 0 {
+		return
+	}
+	p.failAll(unavailable("the upstream refuses connections: "+err.Error(), pause))
+}
+
+func (p *Pool) failAll(err error) {
+	for _, r := range p.waiting {
+		r.answer <- answer{err: err}
+	}
+	p.waiting = nil
+}
+
+func (p *Pool) redial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dial()
+}
+
+// offer gives a clean connection to the longest waiting request, or keeps it.
+func (p *Pool) offer(c upstream.Conn) {
+	if p.closed || p.open > p.limit {
+		p.lose(c)
+		return
+	}
+	if len(p.waiting) == 0 {
+		p.idle = append(p.idle, idleConn{conn: c, since: time.Now()})
+		return
+	}
+	r := p.waiting[0]
+	p.waiting = p.waiting[1:]
+	r.answer <- answer{conn: c}
+}
+
+// Put returns a connection with no transaction open. dirty says that session
+// state may be left on it; the pool then resets it before its next use.
+func (p *Pool) Put(c upstream.Conn, dirty bool) {
+	if c.Broken() {
+		p.Discard(c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if dirty && !p.closed {
+		p.tasks.Go(func() { p.reset(c) })
+		return
+	}
+	p.offer(c)
+}
+
+func (p *Pool) reset(c upstream.Conn) {
+	ctx, cancel := context.WithTimeout(p.ctx, resetTimeout)
+	defer cancel()
+	if err := c.Reset(ctx); err != nil {
+		p.Discard(c)
+		return
+	}
+	p.Put(c, false)
+}
+
+// Discard closes a connection that must not be used again.
+func (p *Pool) Discard(c upstream.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose(c)
+	p.dial()
+}
+
+// Size returns how many connections exist and how many of them are idle.
+func (p *Pool) Size() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle)
+}
+
+// CanDial reports whether the limit allows another connection.
+func (p *Pool) CanDial() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open+p.dialing < p.limit
+}
+
+// Close closes idle connections, refuses new requests and waits for dials in
+// progress. Connections in use are closed when they are returned.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, i := range p.idle {
+		p.lose(i.conn)
+	}
+	p.idle = nil
+	p.failAll(unavailable("the pool is closed", 0))
+	p.mu.Unlock()
+	p.stop()
+	p.tasks.Wait()
+}
+
+// trimLoop closes connections that nothing has used for a while.
+func (p *Pool) trimLoop() {
+	ticker := time.NewTicker(max(p.opts.IdleTimeout/4, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+			p.trim()
+		}
+	}
+}
+
+func (p *Pool) trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && time.Since(p.idle[0].since) >= p.opts.IdleTimeout {
+		p.lose(p.idle[0].conn)
+		p.idle = p.idle[1:]
+	}
+}
