--- a/admin/admin.go
+++ b/admin/admin.go
@@ -66,11 +66,11 @@
 }
 
 // New returns a client of the control hosts at the given addresses.
-func New(httpClient *http.Client, scheme string, hosts []string) *Client {
+func New(httpClient *http.Client, hosts []string) *Client {
 	c := &Client{hosts: hosts}
 	for _, host := range hosts {
-		c.control = append(c.control, lovageslipv1connect.NewControlServiceClient(httpClient, scheme+"://"+host))
-		c.members = append(c.members, lovageslipv1connect.NewMemberServiceClient(httpClient, scheme+"://"+host))
+		c.control = append(c.control, lovageslipv1connect.NewControlServiceClient(httpClient, "http://"+host))
+		c.members = append(c.members, lovageslipv1connect.NewMemberServiceClient(httpClient, "http://"+host))
 	}
 	return c
 }
--- /dev/null
+++ b/daemon/proxy.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/caller/pgcaller"
+	"lovageslip/entry"
+	"lovageslip/exchange"
+	"lovageslip/fault"
+	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/logging"
+	"lovageslip/member"
+	"lovageslip/metrics"
+	"lovageslip/owner"
+	"lovageslip/route"
+	"lovageslip/session"
+	"lovageslip/settings"
+	"lovageslip/tlsconf"
+	"lovageslip/upstream/pgupstream"
+)
+
+// Listeners are the open listeners of a proxy; a nil one is opened on the
+// address of the settings.
+type Listeners struct {
+	Callers net.Listener
+	Hosts   net.Listener
+}
+
+// proxy is the assembly of one proxy host.
+type proxy struct {
+	settings  *settings.Proxy
+	log       *slog.Logger
+	scope     tally.Scope
+	agent     *member.Agent
+	owner     *owner.Owner
+	client    *exchange.Client
+	exchanges *exchange.Server
+	callers   *pgcaller.Server
+	draining  atomic.Bool
+}
+
+// RunProxy runs a proxy host. When ctx ends, it shuts down gracefully within
+// the deadline of the settings: nothing in flight is cut off before that.
+func RunProxy(ctx context.Context, s *settings.Proxy, listeners Listeners, log *slog.Logger) error {
+	scope, metricsHandler, closer := metrics.NewScope()
+	defer closer.Close()
+	hosts, err := loadHostTLS(s.TLSHosts)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(s, hosts, log, scope)
+	if err != nil {
+		return err
+	}
+	defer p.owner.Close()
+	defer p.client.Close()
+	callerListener, err := listen(listeners.Callers, s.Callers, &tlsServer{})
+	if err != nil {
+		return err
+	}
+	hostListener, err := listen(listeners.Hosts, s.Hosts, hosts.server)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, callerListener, hostListener, metricsHandler)
+}
+
+func newProxy(s *settings.Proxy, hosts hostTLS, log *slog.Logger, scope tally.Scope) (*proxy, error) {
+	upstreamTLS, err := tlsconf.Client(s.TLSUpstreams)
+	if err != nil {
+		return nil, err
+	}
+	callerTLS, err := tlsconf.Server(s.TLSCallers)
+	if err != nil {
+		return nil, err
+	}
+	signer, err := newSigner(s.TokenKeys)
+	if err != nil {
+		return nil, err
+	}
+	httpClient := tlsconf.HTTPClient(hosts.client)
+	p := &proxy{settings: s, log: logging.For(log, "daemon"), scope: scope}
+	p.agent = member.New(member.Options{
+		Log: log, Metrics: scope, Control: s.Control, Name: s.Name, Address: s.Hosts,
+		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: httpClient,
+	})
+	p.owner = owner.New(owner.Options{
+		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
+		Dialer: pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope, TLS: upstreamTLS}),
+	})
+	p.exchanges = exchange.NewDrainableServer(p.owner)
+	p.client = exchange.NewClient(exchange.ClientOptions{HTTP: httpClient, Log: log, Metrics: scope})
+	router := route.New(route.Options{DataCentre: s.DataCentre, Log: log, Metrics: scope})
+	gateway := &exchange.Local{Address: s.Hosts, Handler: p.owner, Remote: p.client}
+	p.callers = pgcaller.New(pgcaller.Options{
+		Entry: entry.New(entry.Options{
+			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
+			HostName: s.Name, DataCentre: s.DataCentre, Log: log, Metrics: scope,
+		}),
+		TLS: callerTLS, Log: log, Metrics: scope,
+	})
+	return p, nil
+}
+
+func newSigner(keys []settings.TokenKey) (*session.Signer, error) {
+	accepted := make([]session.Key, 0, len(keys))
+	for _, key := range keys {
+		accepted = append(accepted, session.Key{ID: session.KeyID(key.ID), Secret: key.Secret})
+	}
+	return session.NewSigner(accepted...)
+}
+
+// healthOf reports the health of the upstreams that a proxy owns in the form
+// of heartbeats.
+type healthOf struct {
+	proxy *proxy
+}
+
+func (h healthOf) Health() []*lovageslipv1.UpstreamHealth {
+	var reports []*lovageslipv1.UpstreamHealth
+	for _, one := range h.proxy.owner.Health() {
+		reports = append(reports, &lovageslipv1.UpstreamHealth{
+			Upstream:                one.Upstream,
+			Reachable:               one.Reachable,
+			UnreachableMicros:       one.Unreachable.Microseconds(),
+			Primary:                 one.Primary,
+			Term:                    uint64(one.Term),
+			Position:                uint64(one.Offset),
+			DataAgeMicros:           one.DataAge.Microseconds(),
+			PrimaryContactAgeMicros: one.PrimaryContactAge.Microseconds(),
+		})
+	}
+	return reports
+}
+
+func (p *proxy) run(ctx context.Context, callers, hosts net.Listener, metricsHandler http.Handler) error {
+	mux := http.NewServeMux()
+	mux.Handle(p.exchanges.Handler())
+	mux.Handle(p.agent.AnnounceHandler())
+
+	// The parts outlive ctx: they stop only after the shutdown has let
+	// everything in flight finish.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tasks := pool.New().WithContext(parts).WithCancelOnError().WithFirstError()
+	tasks.Go(func(ctx context.Context) error { p.agent.Run(ctx); return nil })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, mux) })
+	tasks.Go(func(ctx context.Context) error { return serveOps(ctx, p.settings.Metrics, metricsHandler, p.ready) })
+	tasks.Go(func(context.Context) error { return p.serveCallers(callers) })
+	tasks.Go(func(parts context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-parts.Done():
+		}
+		defer stop()
+		return p.shutdown()
+	})
+	p.log.Info("proxy started", "host", p.settings.Name, "callers", callers.Addr(), "hosts", hosts.Addr())
+	return tasks.Wait()
+}
+
+func (p *proxy) serveCallers(listener net.Listener) error {
+	err := p.callers.Serve(listener)
+	var closed *pgcaller.ServerClosed
+	if errors.As(err, &closed) {
+		return nil
+	}
+	return &fault.IO{Op: "serve callers", Err: err}
+}
+
+func (p *proxy) ready() (bool, string) {
+	switch {
+	case p.draining.Load():
+		return false, "shutting down"
+	case p.agent.View() == nil:
+		return false, "no quorum-confirmed state yet"
+	case !p.agent.Confirmed():
+		return false, "no contact with a quorum of the control hosts"
+	}
+	return true, ""
+}
+
+// shutdown hands owned upstreams over and lets everything in flight finish.
+// Callers and the owner drain side by side: callers of this host may depend on
+// its own upstreams and on those of other hosts.
+func (p *proxy) shutdown() error {
+	p.draining.Store(true)
+	p.log.Info("shutdown started", "deadline", p.settings.ShutdownDeadline)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.ShutdownDeadline)
+	defer cancel()
+	var drains conc.WaitGroup
+	var callersErr, ownerErr error
+	drains.Go(func() { callersErr = p.callers.Shutdown(ctx) })
+	drains.Go(func() {
+		if err := p.agent.Release(ctx); err != nil {
+			p.log.Warn("upstreams were not handed over", "error", err)
+		}
+		ownerErr = p.owner.Drain(ctx)
+		p.exchanges.Drain()
+	})
+	drains.Wait()
+	if callersErr != nil {
+		return callersErr
+	}
+	p.log.Info("shutdown finished")
+	return ownerErr
+}
--- a/member/agent.go
+++ b/member/agent.go
@@ -97,6 +97,9 @@
 	pending         map[string]registry.Lease
 	pendingRequired uint64
 	releasing       bool
+	// confirmedUntil is one lease after the sending of the last heartbeat
+	// that was answered.
+	confirmedUntil time.Time
 }
 
 // New returns an agent. Run must be called for it to do anything.
--- a/member/lease.go
+++ b/member/lease.go
@@ -69,10 +69,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.required = max(a.required, r.GetVersion())
+	until := sent.Add(time.Duration(r.GetLeaseMicros()) * time.Microsecond)
+	a.confirmedUntil = until
 	if a.releasing {
 		return
 	}
-	until := sent.Add(time.Duration(r.GetLeaseMicros()) * time.Microsecond)
 	a.pending = make(map[string]registry.Lease, len(r.GetRenewed()))
 	for _, owned := range r.GetRenewed() {
 		a.pending[owned.GetUpstream()] = registry.Lease{Epoch: owned.GetEpoch(), Until: until}
@@ -141,6 +142,14 @@
 	return a.required
 }
 
+// Confirmed reports whether a heartbeat that the leader answered was sent
+// within the last lease. If not, this host has lost contact with the quorum.
+func (a *Agent) Confirmed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Now().Before(a.confirmedUntil)
+}
+
 // Release gives up all leases at once and hands the upstreams over, for a
 // graceful shutdown. Nothing new may be admitted on them from the call on. It
 // returns once a control host has confirmed it or ctx ends; without a
--- a/settings/key.go
+++ b/settings/key.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,7 +25,7 @@
 	allowedAuth     = "trust, scram"
 	allowedMembers  = "name=IP:port pairs, separated by commas; 1, 3 or 5 of them"
 	allowedHosts    = "IP:port, separated by commas; at least one"
-	allowedKeyFile  = "a file of lines `id base64`, each key 32 bytes or more, the first one signs"
+	allowedKeyFile  = "a file of lines `number base64`, each key 32 bytes or more, the first one signs"
 	allowedPassword = "a file of lines `user:password`"
 )
 
@@ -118,10 +119,11 @@
 			return nil, false
 		}
 		secret, err := base64.StdEncoding.DecodeString(fields[1])
-		if err != nil || len(secret) < minKeyBytes {
+		id, badID := strconv.ParseUint(fields[0], 10, 32)
+		if err != nil || badID != nil || len(secret) < minKeyBytes {
 			return nil, false
 		}
-		keys = append(keys, TokenKey{ID: fields[0], Secret: secret})
+		keys = append(keys, TokenKey{ID: uint32(id), Secret: secret})
 	}
 	return keys, len(keys) > 0
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,7 +23,7 @@
 
 // TokenKey signs or verifies session tokens.
 type TokenKey struct {
-	ID     string
+	ID     uint32
 	Secret []byte
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	key := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", minKeyBytes)))
-	assert.NilError(t, os.WriteFile(filepath.Join(dir, "keys"), []byte("k1 "+key+"\n"), 0o600))
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "keys"), []byte("1 "+key+"\n"), 0o600))
 	file := filepath.Join(dir, "proxy.ini")
 	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
 	return file
@@ -43,7 +43,7 @@
 	assert.Equal(t, s.Name, "luzon-1")
 	assert.Equal(t, len(s.Control), 2)
 	assert.Equal(t, s.ShutdownDeadline, 45*time.Second)
-	assert.Equal(t, s.TokenKeys[0].ID, "k1")
+	assert.Equal(t, s.TokenKeys[0].ID, uint32(1))
 }
 
 // Guards against a mistake that is accepted, or reported without its place.
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -108,22 +108,31 @@
 }
 
 // HTTPClient returns a client for connections to other hosts. A nil config
-// means plaintext.
+// means plaintext; otherwise every request goes over TLS, whatever the scheme
+// of its URL, so that no part can send plaintext by mistake.
 func HTTPClient(config *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		TLSClientConfig: config,
 		Protocols:       Protocols(config != nil, false),
 		HTTP2:           HTTP2(),
+		DialContext:     dialer.DialContext,
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport.DialContext = dialer.DialContext
-	return &http.Client{Transport: transport}
+	if config == nil {
+		return &http.Client{Transport: transport}
+	}
+	return &http.Client{Transport: &secureTransport{next: transport}}
 }
 
-// Scheme returns the URL scheme that matches a client configuration.
-func Scheme(config *tls.Config) string {
-	if config == nil {
-		return "http"
+type secureTransport struct {
+	next http.RoundTripper
+}
+
+func (t *secureTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Scheme == "https" {
+		return t.next.RoundTrip(r)
 	}
-	return "https"
+	secure := r.Clone(r.Context())
+	secure.URL.Scheme = "https"
+	return t.next.RoundTrip(secure)
 }
