--- /dev/null
+++ b/cmd/lovageslip-upstream/main.go
@@ -0,0 +1,85 @@
+// Command lovageslip-upstream runs a stand-in database server, for tests and
+// measurements.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lovageslip/logging"
+	"lovageslip/standin"
+	"lovageslip/upstream"
+)
+
+const leaveTimeout = 5 * time.Second
+
+type flags struct {
+	Name           string        `help:"Name of the server."`
+	Database       string        `help:"Database that the server belongs to." default:"db"`
+	DataCentre     string        `help:"Data centre of the server."`
+	Address        string        `help:"IP number and port to listen on." default:"127.0.0.1:0"`
+	Dir            string        `help:"Directory of the database files; temporary if empty."`
+	Primary        string        `help:"Address of the primary to follow; empty for a primary."`
+	Term           uint64        `help:"First term of the group." default:"1"`
+	Lag            time.Duration `help:"Delay before replicated entries are applied."`
+	ConnectDelay   time.Duration `help:"Time that a new connection takes." default:"12ms"`
+	ServiceTime    time.Duration `help:"Time added to each statement."`
+	Slots          int           `help:"Statements executed at a time; 0 for no limit." default:"5"`
+	MaxConnections int           `help:"Sessions accepted; 0 for no limit." default:"70"`
+	Announce       []string      `help:"Base URLs of proxies or control hosts to announce to."`
+	Debug          bool          `help:"Log details."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Description("Stand-in database server for tests and measurements."))
+	level := slog.LevelInfo
+	if f.Debug {
+		level = slog.LevelDebug
+	}
+	log := logging.New(os.Stderr, level, logging.FormatText)
+	if err := run(f, log); err != nil {
+		log.Error("upstream: stopped", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags, log *slog.Logger) error {
+	server, err := standin.Start(options(f, log))
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	log.Info("upstream: listening", "address", server.Address())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	<-ctx.Done()
+	stop()
+	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	return server.AnnounceLeaving(leaving)
+}
+
+func options(f flags, log *slog.Logger) standin.Options {
+	return standin.Options{
+		Log:            log,
+		Name:           f.Name,
+		Database:       f.Database,
+		DataCentre:     f.DataCentre,
+		Address:        f.Address,
+		Dir:            f.Dir,
+		Primary:        f.Primary,
+		Term:           upstream.Term(f.Term),
+		Lag:            f.Lag,
+		ConnectDelay:   f.ConnectDelay,
+		ServiceTime:    f.ServiceTime,
+		Slots:          f.Slots,
+		MaxConnections: f.MaxConnections,
+		AnnounceTo:     f.Announce,
+	}
+}
--- /dev/null
+++ b/standin/announce.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/upstream"
+)
+
+const (
+	announceInterval = 2 * time.Second
+	announceTimeout  = time.Second
+)
+
+// announcer tells the proxies or control hosts of the server.
+type announcer struct {
+	server  *Server
+	clients []lovageslipv1connect.ControlServiceClient
+	leaving atomic.Bool
+	now     chan struct{}
+}
+
+func newAnnouncer(s *Server, urls []string) *announcer {
+	a := &announcer{server: s, now: make(chan struct{}, 1)}
+	for _, url := range urls {
+		client := lovageslipv1connect.NewControlServiceClient(http.DefaultClient, url, connect.WithProtoJSON())
+		a.clients = append(a.clients, client)
+	}
+	return a
+}
+
+// identity is the part of an announcement whose change is announced at once.
+type identity struct {
+	role upstream.Role
+	term upstream.Term
+}
+
+// run announces at the start, on each change of role or term until answered,
+// and every announceInterval.
+func (a *announcer) run(ctx context.Context) {
+	var announced identity
+	answered := false
+	for ctx.Err() == nil {
+		status, changed := a.server.state.watch()
+		current := identity{role: status.Role, term: status.Term}
+		if answered && current == announced {
+			a.pause(ctx, current, changed)
+			answered = false
+			continue
+		}
+		answered = a.announce(ctx) == nil
+		announced = current
+		if !answered {
+			waitFor(ctx, nil, announceInterval)
+		}
+	}
+}
+
+// pause waits until the next announcement is due.
+func (a *announcer) pause(ctx context.Context, announced identity, changed <-chan struct{}) {
+	timer := time.NewTimer(announceInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+		var status upstream.Status
+		status, changed = a.server.state.watch()
+		if status.Role != announced.role || status.Term != announced.term {
+			return
+		}
+	}
+}
+
+// announce sends one announcement to each address until one answers.
+func (a *announcer) announce(ctx context.Context) error {
+	var err error
+	for _, client := range a.clients {
+		if err = a.announceTo(ctx, client); err == nil {
+			return nil
+		}
+		a.server.log.Debug("announcement failed", "error", err)
+	}
+	return err
+}
+
+func (a *announcer) announceTo(ctx context.Context, client lovageslipv1connect.ControlServiceClient) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_, err := client.Announce(ctx, connect.NewRequest(a.message()))
+	return err
+}
+
+func (a *announcer) message() *lovageslipv1.AnnounceRequest {
+	status := a.server.state.status()
+	return &lovageslipv1.AnnounceRequest{
+		Name:           a.server.options.Name,
+		Database:       a.server.options.Database,
+		Address:        a.server.address,
+		DataCentre:     a.server.options.DataCentre,
+		Role:           status.Role.String(),
+		Term:           uint64(status.Term),
+		Position:       uint64(status.Offset),
+		Slots:          uint32(a.server.options.Slots),
+		MaxConnections: uint32(a.server.options.MaxConnections),
+		Leaving:        a.leaving.Load(),
+	}
+}
+
+// leave announces that the server is leaving, until one address has answered.
+func (a *announcer) leave(ctx context.Context) error {
+	a.leaving.Store(true)
+	for {
+		err := a.announce(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		waitFor(ctx, nil, relinkDelay)
+	}
+}
--- /dev/null
+++ b/standin/describe.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"strings"
+
+	"github.com/mattn/go-sqlite3"
+)
+
+// fieldsOf returns the columns of a statement's answer without running it.
+func (s *session) fieldsOf(named *namedStatement) ([]field, *pgError) {
+	if named.described || named.st == nil {
+		return named.fields, nil
+	}
+	fields, failure := s.staticFields(named.st, named.oids)
+	if failure != nil {
+		return nil, failure
+	}
+	named.fields, named.described = fields, true
+	return fields, nil
+}
+
+func (s *session) staticFields(st *statement, oids []uint32) ([]field, *pgError) {
+	if isCall(st) {
+		return statusFields, nil
+	}
+	if st.keyword == "SHOW" {
+		name, _, failure := s.showValue(st)
+		return []field{{name: name, oid: oidText}}, failure
+	}
+	if !inDatabase(st) {
+		return nil, nil
+	}
+	p, failure := s.prepare(st.sql)
+	if failure != nil {
+		return nil, failure
+	}
+	if p.readOnly {
+		return s.describeRead(st, p, oids)
+	}
+	if !st.returnsRows() {
+		return nil, nil
+	}
+	return s.describeReturning(st, oids), nil
+}
+
+// describeRead lets SQLite name and type the columns. The text is wrapped so
+// that no row is computed.
+func (s *session) describeRead(st *statement, p *prepared, oids []uint32) ([]field, *pgError) {
+	probe, err := s.db.Prepare("SELECT * FROM (" + st.sql + "\n) LIMIT 0")
+	if err != nil {
+		// Not a query, such as PRAGMA or EXPLAIN.
+		probe = p.stmt
+	} else {
+		defer probe.Close()
+	}
+	stmt := probe.(*sqlite3.SQLiteStmt)
+	result, err := stmt.QueryContext(s.ctx, namedValues(nil, stmt.NumInput()))
+	if err != nil {
+		return nil, databaseError(err)
+	}
+	defer result.Close()
+	described := &prepared{}
+	described.describe(result.(*sqlite3.SQLiteRows))
+	fields := described.fields
+	s.guessFields(st, described, oids, fields)
+	return fields, nil
+}
+
+func (s *session) describeReturning(st *statement, oids []uint32) []field {
+	guess := s.newGuess(st, oids)
+	var fields []field
+	for _, expression := range splitList(afterWord(st.tokens, "RETURNING")) {
+		if len(expression) == 1 && expression[0].is("*") {
+			fields = append(fields, guess.tables.all()...)
+			continue
+		}
+		fields = append(fields, field{name: columnName(st, expression), oid: guess.expression(withoutAlias(expression))})
+	}
+	return fields
+}
+
+func columnName(st *statement, expression []token) string {
+	last := expression[len(expression)-1]
+	if last.kind != tokenWord && last.kind != tokenQuoted {
+		return "?column?"
+	}
+	base := st.tokens[0].start
+	return unquote(st.source[last.start-base : last.end-base])
+}
+
+// guessFields types the columns that are expressions by their text.
+func (s *session) guessFields(st *statement, p *prepared, oids []uint32, fields []field) {
+	var guess *guess
+	list := splitList(selectList(st.tokens))
+	for i := range fields {
+		if p.declared[i] || len(list) != len(fields) {
+			continue
+		}
+		if guess == nil {
+			guess = s.newGuess(st, oids)
+		}
+		fields[i].oid = guess.expression(withoutAlias(list[i]))
+	}
+}
+
+// selectList returns the tokens between the first SELECT outside parentheses
+// and its FROM.
+func selectList(tokens []token) []token {
+	list := afterWord(tokens, "SELECT")
+	depth := 0
+	for i, t := range list {
+		depth += nesting(t)
+		ends := t.is("FROM") || t.is("WHERE") || t.is("LIMIT") || t.is("ORDER") || t.is("GROUP") || t.is("UNION")
+		if depth == 0 && ends || depth < 0 {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+func afterWord(tokens []token, word string) []token {
+	depth := 0
+	for i, t := range tokens {
+		depth += nesting(t)
+		if depth == 0 && t.is(word) {
+			return tokens[i+1:]
+		}
+	}
+	return nil
+}
+
+func nesting(t token) int {
+	if t.is("(") {
+		return 1
+	}
+	if t.is(")") {
+		return -1
+	}
+	return 0
+}
+
+func splitList(tokens []token) [][]token {
+	var list [][]token
+	depth, start := 0, 0
+	for i, t := range tokens {
+		depth += nesting(t)
+		if depth == 0 && t.is(",") {
+			list = append(list, tokens[start:i])
+			start = i + 1
+		}
+	}
+	if start < len(tokens) {
+		list = append(list, tokens[start:])
+	}
+	return list
+}
+
+func withoutAlias(expression []token) []token {
+	n := len(expression)
+	if n >= 3 && expression[n-2].is("AS") {
+		return expression[:n-2]
+	}
+	return expression
+}
+
+// tableColumns holds the declared types of the columns that a statement may
+// refer to.
+type tableColumns struct {
+	order []field
+	types map[string]uint32
+}
+
+func (t *tableColumns) all() []field { return t.order }
+
+// readTables reads the columns of every name in the statement that is a table.
+func (s *session) readTables(st *statement) *tableColumns {
+	tables := &tableColumns{types: map[string]uint32{}}
+	seen := map[string]bool{}
+	for i, t := range st.tokens {
+		isName := t.kind == tokenWord || t.kind == tokenQuoted
+		if i == 0 || !isName || !precedesTable(st.tokens[i-1]) || seen[t.text] {
+			continue
+		}
+		seen[t.text] = true
+		s.readTable(unquote(t.text), tables)
+	}
+	return tables
+}
+
+func precedesTable(t token) bool {
+	return t.is("FROM") || t.is("INTO") || t.is("UPDATE") || t.is("JOIN") || t.is(",")
+}
+
+func (s *session) readTable(name string, tables *tableColumns) {
+	args := []driver.NamedValue{{Ordinal: 1, Value: name}}
+	compiled, failure := s.prepare("SELECT name, type FROM pragma_table_info(?1)")
+	if failure != nil {
+		return
+	}
+	rows, err := compiled.stmt.QueryContext(s.ctx, args)
+	if err != nil {
+		return
+	}
+	defer rows.Close()
+	dest := make([]driver.Value, 2)
+	for rows.Next(dest) == nil {
+		column, _ := dest[0].(string)
+		declared, _ := dest[1].(string)
+		oid := oidOfDeclared(declared)
+		tables.order = append(tables.order, field{name: column, oid: oid})
+		tables.types[strings.ToUpper(column)] = oid
+	}
+}
--- /dev/null
+++ b/standin/execute.go
@@ -0,0 +1,381 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"encoding/binary"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/mattn/go-sqlite3"
+)
+
+// field describes one column of an answer.
+type field struct {
+	name string
+	oid  uint32
+}
+
+// rowSink sends the rows of one statement.
+type rowSink struct {
+	session *session
+	// describe asks for a RowDescription before the first row.
+	describe bool
+	formats  []int16
+	fields   []field
+	count    int
+	// keep collects encoded rows instead of sending them.
+	keep bool
+	kept [][]byte
+}
+
+func (r *rowSink) format(column int) int16 {
+	switch len(r.formats) {
+	case 0:
+		return formatText
+	case 1:
+		return r.formats[0]
+	}
+	if column < len(r.formats) {
+		return r.formats[column]
+	}
+	return formatText
+}
+
+func (r *rowSink) start(fields []field) {
+	if r.fields == nil {
+		r.fields = fields
+	}
+	if r.describe {
+		r.session.send(rowDescription(r.fields, r.formats))
+	}
+}
+
+func (r *rowSink) row(values []driver.Value) error {
+	r.count++
+	if r.keep {
+		r.kept = append(r.kept, r.encode(nil, values))
+		return nil
+	}
+	r.session.out = r.encode(r.session.out, values)
+	return r.session.flushIfLarge()
+}
+
+func (r *rowSink) encode(out []byte, values []driver.Value) []byte {
+	start := len(out)
+	out = append(out, 'D', 0, 0, 0, 0)
+	out = binary.BigEndian.AppendUint16(out, uint16(len(values)))
+	for i, v := range values {
+		oid := uint32(oidText)
+		if i < len(r.fields) {
+			oid = r.fields[i].oid
+		}
+		out = appendValue(out, v, oid, r.format(i))
+	}
+	binary.BigEndian.PutUint32(out[start+1:], uint32(len(out)-start-1))
+	return out
+}
+
+func rowDescription(fields []field, formats []int16) *pgproto3.RowDescription {
+	sink := rowSink{formats: formats}
+	description := &pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, len(fields))}
+	for i, f := range fields {
+		description.Fields[i] = pgproto3.FieldDescription{
+			Name:         []byte(f.name),
+			DataTypeOID:  f.oid,
+			DataTypeSize: typeSize(f.oid),
+			TypeModifier: -1,
+			Format:       sink.format(i),
+		}
+	}
+	return description
+}
+
+// prepared is a statement that SQLite has compiled on the session's
+// connection. Its metadata is read once.
+type prepared struct {
+	stmt     *sqlite3.SQLiteStmt
+	readOnly bool
+	inputs   int
+	fields   []field
+	declared []bool
+	known    bool
+	dest     []driver.Value
+}
+
+func (s *session) prepare(sql string) (*prepared, *pgError) {
+	if failure := s.openDatabase(); failure != nil {
+		return nil, failure
+	}
+	if p := s.prepared[sql]; p != nil {
+		return p, nil
+	}
+	compiled, err := s.db.Prepare(sql)
+	if err != nil {
+		return nil, databaseError(err)
+	}
+	if len(s.prepared) >= maxCachedPrepared {
+		s.dropPrepared()
+	}
+	stmt := compiled.(*sqlite3.SQLiteStmt)
+	p := &prepared{stmt: stmt, readOnly: stmt.Readonly(), inputs: stmt.NumInput()}
+	s.prepared[sql] = p
+	return p, nil
+}
+
+// execute runs one statement of any kind and returns its command tag.
+func (s *session) execute(st *statement, args []any, sink *rowSink) (string, *pgError) {
+	if tag, failure, done := s.control(st); done {
+		return tag, failure
+	}
+	call, isCall, failure := parseCall(st, args)
+	if failure != nil {
+		return "", failure
+	}
+	if isCall && (call.name == statusFunction || !s.tx.failed) {
+		return s.callFunction(call, sink)
+	}
+	if s.tx.failed {
+		return "", failedTransaction()
+	}
+	if tag, failure, done := s.utility(st, sink); done {
+		return tag, failure
+	}
+	return s.executeInDatabase(st, args, sink)
+}
+
+// utility runs statements about the session. It returns false for others.
+func (s *session) utility(st *statement, sink *rowSink) (string, *pgError, bool) {
+	var tag string
+	var failure *pgError
+	switch st.keyword {
+	case "SET":
+		tag, failure = s.setStatement(st)
+	case "RESET":
+		tag, failure = s.resetStatement(st)
+	case "SHOW":
+		tag, failure = s.showStatement(st, sink)
+	case "DISCARD":
+		tag, failure = s.discardAll()
+	case "DEALLOCATE":
+		tag, failure = s.deallocate(st)
+	case "SAVEPOINT":
+		tag, failure = s.savepoint(st)
+	case "RELEASE":
+		tag, failure = s.releaseSavepoint(st)
+	default:
+		return "", nil, false
+	}
+	return tag, failure, true
+}
+
+func (s *session) showStatement(st *statement, sink *rowSink) (string, *pgError) {
+	name, value, failure := s.showValue(st)
+	if failure != nil {
+		return "", failure
+	}
+	sink.start([]field{{name: name, oid: oidText}})
+	if err := sink.row([]driver.Value{value}); err != nil {
+		return "", databaseError(err)
+	}
+	return "SHOW", nil
+}
+
+func (s *session) showValue(st *statement) (string, string, *pgError) {
+	name := ""
+	for _, part := range st.tokens[1:] {
+		name += unquote(part.text)
+	}
+	if name == "TRANSACTION_READ_ONLY" {
+		on := map[bool]string{true: "on", false: "off"}
+		return "transaction_read_only", on[s.readOnly()], nil
+	}
+	if name == "TRANSACTIONISOLATIONLEVEL" {
+		name = "transaction_isolation"
+	}
+	value, ok := s.settings.lookup(name)
+	if !ok {
+		return "", "", unknownSetting(name)
+	}
+	return settingName(name), value, nil
+}
+
+func (s *session) deallocate(st *statement) (string, *pgError) {
+	last := st.tokens[len(st.tokens)-1]
+	if last.is("ALL") {
+		clear(s.statements)
+		return "DEALLOCATE ALL", nil
+	}
+	delete(s.statements, unquote(st.source[last.start-st.tokens[0].start:]))
+	return "DEALLOCATE", nil
+}
+
+func (s *session) executeInDatabase(st *statement, args []any, sink *rowSink) (string, *pgError) {
+	p, failure := s.prepare(st.sql)
+	if failure != nil {
+		return "", failure
+	}
+	if failure := s.enter(st, p); failure != nil {
+		return "", failure
+	}
+	// The write lock, which enter may have waited for, is never waited for
+	// with a slot in hand; otherwise its holder might lack a slot to go on.
+	if err := s.server.slots.acquire(s.ctx); err != nil {
+		return "", cancelledError()
+	}
+	defer s.server.slots.release()
+	if serviceTime := time.Duration(s.server.serviceTime.Load()); serviceTime > 0 {
+		waitFor(s.ctx, nil, serviceTime)
+	}
+	if s.ctx.Err() != nil {
+		return "", cancelledError()
+	}
+	return s.runPrepared(st, p, args, sink)
+}
+
+func (s *session) enter(st *statement, p *prepared) *pgError {
+	if !p.readOnly {
+		return s.prepareWrite(st.keyword)
+	}
+	if s.tx.explicit {
+		return s.beginInDatabase()
+	}
+	return nil
+}
+
+func (s *session) runPrepared(st *statement, p *prepared, args []any, sink *rowSink) (string, *pgError) {
+	named := namedValues(args, p.inputs)
+	if p.readOnly || st.returnsRows() {
+		if failure := s.query(st, p, named, sink); failure != nil {
+			return "", failure
+		}
+		s.logStatement(st, p, args)
+		return commandTag(st, sink.count), nil
+	}
+	result, err := p.stmt.ExecContext(s.ctx, named)
+	if err != nil {
+		return "", databaseError(err)
+	}
+	s.logStatement(st, p, args)
+	affected, _ := result.RowsAffected()
+	return commandTag(st, int(affected)), nil
+}
+
+func (s *session) query(st *statement, p *prepared, args []driver.NamedValue, sink *rowSink) *pgError {
+	result, err := p.stmt.QueryContext(s.ctx, args)
+	if err != nil {
+		return databaseError(err)
+	}
+	rows := result.(*sqlite3.SQLiteRows)
+	defer rows.Close()
+	p.describe(rows)
+	if len(p.fields) == 0 {
+		return drain(rows)
+	}
+	return s.sendRows(st, p, rows, sink)
+}
+
+func drain(rows *sqlite3.SQLiteRows) *pgError {
+	if err := rows.Next(nil); err != nil && !errors.Is(err, io.EOF) {
+		return databaseError(err)
+	}
+	return nil
+}
+
+func (s *session) sendRows(st *statement, p *prepared, rows *sqlite3.SQLiteRows, sink *rowSink) *pgError {
+	err := rows.Next(p.dest)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return databaseError(err)
+	}
+	if sink.fields == nil {
+		sink.start(s.observedFields(st, p, err == nil))
+	} else {
+		sink.start(nil)
+	}
+	for err == nil {
+		if err := sink.row(p.dest); err != nil {
+			return databaseError(err)
+		}
+		err = rows.Next(p.dest)
+	}
+	if !errors.Is(err, io.EOF) {
+		return databaseError(err)
+	}
+	return nil
+}
+
+// describe reads the column names and declared types once.
+func (p *prepared) describe(rows *sqlite3.SQLiteRows) {
+	if p.known {
+		return
+	}
+	p.known = true
+	names, types := rows.Columns(), rows.DeclTypes()
+	p.fields = make([]field, len(names))
+	p.declared = make([]bool, len(names))
+	p.dest = make([]driver.Value, len(names))
+	for i, name := range names {
+		p.declared[i] = types[i] != ""
+		p.fields[i] = field{name: name, oid: oidOfDeclared(types[i])}
+	}
+}
+
+// observedFields types the columns of expressions by the first row's values,
+// or by their text if there is no row.
+func (s *session) observedFields(st *statement, p *prepared, row bool) []field {
+	fields := append([]field{}, p.fields...)
+	for i := range fields {
+		if p.declared[i] || !row {
+			continue
+		}
+		if oid := oidOfValue(p.dest[i]); oid != 0 {
+			fields[i].oid = oid
+		}
+	}
+	if !row {
+		s.guessFields(st, p, nil, fields)
+	}
+	return fields
+}
+
+func namedValues(args []any, inputs int) []driver.NamedValue {
+	if inputs == 0 {
+		return nil
+	}
+	named := make([]driver.NamedValue, inputs)
+	for i := range named {
+		named[i].Ordinal = i + 1
+		if i < len(args) {
+			named[i].Value = args[i]
+		}
+	}
+	return named
+}
+
+func (s *session) logStatement(st *statement, p *prepared, args []any) {
+	if p.readOnly {
+		return
+	}
+	logged := loggedStatement{SQL: st.sql, Schema: st.changesSchema()}
+	for _, arg := range args {
+		logged.Args = append(logged.Args, logValue(arg))
+	}
+	s.tx.statements = append(s.tx.statements, logged)
+}
+
+func commandTag(st *statement, rows int) string {
+	count := strconv.Itoa(rows)
+	switch st.keyword {
+	case "SELECT", "VALUES", "WITH", "TABLE", "EXPLAIN", "PRAGMA":
+		return "SELECT " + count
+	case "INSERT", "REPLACE":
+		return "INSERT 0 " + count
+	case "UPDATE", "DELETE":
+		return st.keyword + " " + count
+	case "CREATE", "DROP", "ALTER":
+		return st.keyword + " " + st.word(1)
+	}
+	return st.keyword
+}
--- /dev/null
+++ b/standin/extended.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// namedStatement is a statement of the extended protocol. st is nil for an
+// empty one.
+type namedStatement struct {
+	st        *statement
+	oids      []uint32
+	fields    []field
+	described bool
+}
+
+// portal is a bound statement. After an Execute with a row limit, kept holds
+// the rows that are still to be sent.
+type portal struct {
+	statement *namedStatement
+	args      []any
+	formats   []int16
+	ran       bool
+	kept      [][]byte
+	tag       string
+}
+
+// simpleQuery runs the statements of a Query message.
+func (s *session) simpleQuery(query string) error {
+	s.skipping = false
+	statements := s.parse(query)
+	if len(statements) == 0 {
+		s.send(&pgproto3.EmptyQueryResponse{})
+	}
+	var failure *pgError
+	for i, st := range statements {
+		if failure = s.runSimple(st, i == len(statements)-1); failure != nil {
+			break
+		}
+	}
+	if failure != nil {
+		s.fail(failure)
+	}
+	s.endQuery()
+	return s.flushIfLarge()
+}
+
+// endQuery ends the implicit transaction; its commit has already happened if
+// there was no error.
+func (s *session) endQuery() {
+	if !s.tx.explicit {
+		s.rollback()
+		s.tx = transaction{}
+	}
+	clear(s.portals)
+	s.ready()
+}
+
+func (s *session) parse(query string) []*statement {
+	if statements, ok := s.queries[query]; ok {
+		return statements
+	}
+	statements := parseStatements(query)
+	if len(s.queries) >= maxCachedQueries {
+		clear(s.queries)
+	}
+	s.queries[query] = statements
+	return statements
+}
+
+// runSimple runs one statement of a Query. The last one is acknowledged only
+// after the implicit transaction has committed.
+func (s *session) runSimple(st *statement, last bool) *pgError {
+	if st.parameters > 0 {
+		return &pgError{Code: "42P02", Message: "there is no parameter $1"}
+	}
+	sink := &rowSink{session: s, describe: true}
+	tag, failure := s.execute(st, nil, sink)
+	if failure != nil {
+		return failure
+	}
+	if last && !s.tx.explicit {
+		if failure := s.endImplicit(); failure != nil {
+			return failure
+		}
+	}
+	s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// sync ends a sequence of extended messages.
+func (s *session) sync() error {
+	s.skipping = false
+	if failure := s.endImplicit(); failure != nil {
+		s.send(failure.response())
+	}
+	if !s.tx.explicit {
+		clear(s.portals)
+	}
+	s.ready()
+	return s.flushIfLarge()
+}
+
+func (s *session) extended(message pgproto3.FrontendMessage) *pgError {
+	switch message := message.(type) {
+	case *pgproto3.Parse:
+		return s.parseMessage(message)
+	case *pgproto3.Bind:
+		return s.bindMessage(message)
+	case *pgproto3.Describe:
+		return s.describeMessage(message)
+	case *pgproto3.Execute:
+		return s.executeMessage(message)
+	case *pgproto3.Close:
+		s.closeMessage(message)
+	}
+	return nil
+}
+
+func (s *session) parseMessage(message *pgproto3.Parse) *pgError {
+	if message.Name != "" && s.statements[message.Name] != nil {
+		return &pgError{Code: "42P05", Message: "prepared statement " + message.Name + " already exists"}
+	}
+	statements := s.parse(message.Query)
+	if len(statements) > 1 {
+		return &pgError{Code: "42601", Message: "cannot insert multiple commands into a prepared statement"}
+	}
+	named := &namedStatement{}
+	if len(statements) == 1 {
+		named.st = statements[0]
+		if failure := s.checkParse(named.st); failure != nil {
+			return failure
+		}
+		named.oids = s.parameterTypes(named.st, message.ParameterOIDs)
+	}
+	s.statements[message.Name] = named
+	s.send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+// checkParse reports errors in the text early, as PostgreSQL does.
+func (s *session) checkParse(st *statement) *pgError {
+	if !inDatabase(st) {
+		return nil
+	}
+	if s.tx.failed {
+		return failedTransaction()
+	}
+	_, failure := s.prepare(st.sql)
+	return failure
+}
+
+// inDatabase reports whether SQLite runs the statement.
+func inDatabase(st *statement) bool {
+	switch st.keyword {
+	case "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "SAVEPOINT", "RELEASE",
+		"SET", "SHOW", "RESET", "DISCARD", "DEALLOCATE":
+		return false
+	}
+	return !isCall(st)
+}
+
+func (s *session) bindMessage(message *pgproto3.Bind) *pgError {
+	named := s.statements[message.PreparedStatement]
+	if named == nil {
+		return &pgError{Code: codeUnknownStatement, Message: "prepared statement " + message.PreparedStatement + " does not exist"}
+	}
+	if len(message.Parameters) != len(named.oids) {
+		return &pgError{Code: codeProtocol, Message: "bind message supplies the wrong number of parameters"}
+	}
+	p := &portal{statement: named, formats: append([]int16{}, message.ResultFormatCodes...)}
+	formats := rowSink{formats: message.ParameterFormatCodes}
+	for i, raw := range message.Parameters {
+		value, failure := decodeParameter(raw, named.oids[i], formats.format(i))
+		if failure != nil {
+			return failure
+		}
+		p.args = append(p.args, value)
+	}
+	s.portals[message.DestinationPortal] = p
+	s.send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (s *session) describeMessage(message *pgproto3.Describe) *pgError {
+	if message.ObjectType == 'P' {
+		p := s.portals[message.Name]
+		if p == nil {
+			return unknownPortal(message.Name)
+		}
+		return s.describe(p.statement, p.formats)
+	}
+	named := s.statements[message.Name]
+	if named == nil {
+		return &pgError{Code: codeUnknownStatement, Message: "prepared statement " + message.Name + " does not exist"}
+	}
+	s.send(&pgproto3.ParameterDescription{ParameterOIDs: named.oids})
+	return s.describe(named, nil)
+}
+
+func (s *session) describe(named *namedStatement, formats []int16) *pgError {
+	fields, failure := s.fieldsOf(named)
+	if failure != nil {
+		return failure
+	}
+	if len(fields) == 0 {
+		s.send(&pgproto3.NoData{})
+		return nil
+	}
+	s.send(rowDescription(fields, formats))
+	return nil
+}
+
+func unknownPortal(name string) *pgError {
+	return &pgError{Code: codeUnknownPortal, Message: "portal " + name + " does not exist"}
+}
+
+func (s *session) executeMessage(message *pgproto3.Execute) *pgError {
+	p := s.portals[message.Portal]
+	if p == nil {
+		return unknownPortal(message.Portal)
+	}
+	if p.statement.st == nil {
+		s.send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if !p.ran {
+		if failure := s.runPortal(p, message.MaxRows > 0); failure != nil {
+			return failure
+		}
+	}
+	s.sendKept(p, int(message.MaxRows))
+	return nil
+}
+
+func (s *session) runPortal(p *portal, limited bool) *pgError {
+	fields, failure := s.fieldsOf(p.statement)
+	if failure != nil && !s.tx.failed {
+		return failure
+	}
+	p.ran = true
+	sink := &rowSink{session: s, formats: p.formats, fields: fields, keep: limited}
+	tag, failure := s.execute(p.statement.st, p.args, sink)
+	p.tag, p.kept = tag, sink.kept
+	return failure
+}
+
+// sendKept sends rows that were held back by a row limit, up to the limit.
+func (s *session) sendKept(p *portal, limit int) {
+	n := len(p.kept)
+	if limit > 0 {
+		n = min(n, limit)
+	}
+	for _, row := range p.kept[:n] {
+		s.out = append(s.out, row...)
+	}
+	p.kept = p.kept[n:]
+	if len(p.kept) > 0 {
+		s.send(&pgproto3.PortalSuspended{})
+		return
+	}
+	s.send(&pgproto3.CommandComplete{CommandTag: []byte(p.tag)})
+}
+
+func (s *session) closeMessage(message *pgproto3.Close) {
+	if message.ObjectType == 'P' {
+		delete(s.portals, message.Name)
+	} else {
+		delete(s.statements, message.Name)
+	}
+	s.send(&pgproto3.CloseComplete{})
+}
--- /dev/null
+++ b/standin/link.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"context"
+	"encoding/gob"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/mattn/go-sqlite3"
+	"github.com/sourcegraph/conc"
+
+	"lovageslip/upstream"
+)
+
+// link is one connection of a replica to its primary. One goroutine pulls, the
+// other applies what was pulled once the lag has passed.
+type link struct {
+	server  *Server
+	target  target
+	conn    net.Conn
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+	arrived chan struct{}
+
+	// mu guards queue.
+	mu    sync.Mutex
+	queue []pulled
+}
+
+// pulled is an answered pull that waits for the replication lag.
+type pulled struct {
+	sent    time.Time
+	due     time.Time
+	entries []entry
+	history upstream.History
+	more    bool
+}
+
+func (l *link) run(ctx context.Context, cancel context.CancelFunc) error {
+	first, err := l.pull(pullRequest{First: true, History: l.target.history, From: l.target.offset})
+	if err != nil {
+		return err
+	}
+	if err := l.server.adopt(l.target, first); err != nil {
+		return err
+	}
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		defer cancel()
+		if err := l.apply(ctx); err != nil {
+			l.server.log.Warn("applying entries failed", "error", err)
+		}
+	})
+	err = l.fetch(ctx, first.Keep)
+	cancel()
+	tasks.Wait()
+	return err
+}
+
+func (l *link) pull(request pullRequest) (pullReply, error) {
+	request.Term = l.target.term
+	var reply pullReply
+	_ = l.conn.SetDeadline(time.Now().Add(pullTimeout))
+	if err := l.encoder.Encode(request); err != nil {
+		return reply, err
+	}
+	if err := l.decoder.Decode(&reply); err != nil {
+		return reply, err
+	}
+	if reply.Refused != "" {
+		return reply, &linkRefused{detail: reply.Refused}
+	}
+	l.server.state.heard(l.target.link)
+	return reply, nil
+}
+
+func (l *link) fetch(ctx context.Context, from upstream.Offset) error {
+	for ctx.Err() == nil && l.server.state.current(l.target.link) {
+		sent := time.Now()
+		reply, err := l.pull(pullRequest{From: from})
+		if err != nil {
+			return err
+		}
+		from += upstream.Offset(len(reply.Entries))
+		due := time.Now().Add(time.Duration(l.server.lag.Load()))
+		l.push(pulled{sent: sent, due: due, entries: reply.Entries, history: reply.History, more: reply.More})
+	}
+	return ctx.Err()
+}
+
+func (l *link) push(p pulled) {
+	l.mu.Lock()
+	l.queue = append(l.queue, p)
+	l.mu.Unlock()
+	select {
+	case l.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// due takes the pulls whose lag has passed, and returns how long to wait for
+// the next one; zero if the queue is empty.
+func (l *link) due(now time.Time) ([]pulled, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for n < len(l.queue) && !l.queue[n].due.After(now) {
+		n++
+	}
+	ready := l.queue[:n:n]
+	l.queue = l.queue[n:]
+	if len(l.queue) == 0 {
+		return ready, 0
+	}
+	return ready, l.queue[0].due.Sub(now)
+}
+
+func (l *link) apply(ctx context.Context) error {
+	db, _, err := l.server.store.open()
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	for ctx.Err() == nil {
+		ready, wait := l.due(time.Now())
+		if len(ready) == 0 {
+			l.await(ctx, wait)
+			continue
+		}
+		if err := l.server.applyPulled(db, l.target, ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *link) await(ctx context.Context, wait time.Duration) {
+	if wait > 0 {
+		waitFor(ctx, nil, wait)
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-l.arrived:
+	}
+}
+
+// applyPulled applies pulls that are due, unless the target has changed.
+func (s *Server) applyPulled(db *sqlite3.SQLiteConn, t target, ready []pulled) error {
+	s.state.commit.Lock()
+	defer s.state.commit.Unlock()
+	if !s.state.current(t.link) {
+		return &linkRefused{detail: "target changed"}
+	}
+	var entries []entry
+	for _, p := range ready {
+		entries = append(entries, p.entries...)
+	}
+	if len(entries) > 0 {
+		if err := applyEntries(db, entries); err != nil {
+			return err
+		}
+		s.noteSchemaChanges(entries)
+	}
+	last := ready[len(ready)-1]
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.state.log = append(s.state.log, entries...)
+	if !last.more {
+		s.state.fresh = last.sent
+	}
+	s.state.adoptHistory(last.history)
+	if len(entries) > 0 {
+		s.state.notify()
+	}
+	return nil
+}
+
+func (s *Server) noteSchemaChanges(entries []entry) {
+	for _, e := range entries {
+		for _, logged := range e.Statements {
+			if logged.Schema {
+				s.store.schemaChanged()
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/peer.go
@@ -0,0 +1,26 @@
+package standin
+
+import (
+	"net"
+	"syscall"
+)
+
+// peerClosed reports whether the client has closed the connection. It consumes
+// nothing.
+func peerClosed(conn net.Conn) bool {
+	holder, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return closed || err != nil
+}
--- /dev/null
+++ b/standin/replicate.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"lovageslip/fault"
+	"lovageslip/upstream"
+)
+
+const (
+	// replicationParameter in a start-up message asks for a replication link
+	// instead of a session.
+	replicationParameter = "replication"
+	pullHold             = 10 * time.Millisecond
+	pullTimeout          = time.Second
+	relinkDelay          = 20 * time.Millisecond
+	maxPullEntries       = 2000
+)
+
+// pullRequest asks for the entries after From. The first request of a link
+// carries the replica's history, to find the common prefix of both logs.
+type pullRequest struct {
+	Term    upstream.Term
+	History upstream.History
+	From    upstream.Offset
+	First   bool
+}
+
+// pullReply answers a pullRequest. Keep answers the first request only: the
+// replica keeps that many entries and discards the rest.
+type pullReply struct {
+	Refused string
+	History upstream.History
+	Keep    upstream.Offset
+	Entries []entry
+	// More is true if the primary has further entries already.
+	More bool
+}
+
+// linkRefused reports that the server at the address does not lead the term.
+type linkRefused struct {
+	detail string
+}
+
+func (e *linkRefused) Error() string { return "replication refused: " + e.detail }
+
+// serveReplica answers pulls on a replication link until it breaks.
+func (s *Server) serveReplica(run context.Context, conn net.Conn, reader *bufio.Reader) {
+	decoder, encoder := gob.NewDecoder(reader), gob.NewEncoder(conn)
+	for run.Err() == nil {
+		var request pullRequest
+		if err := decoder.Decode(&request); err != nil {
+			return
+		}
+		reply := s.state.answerPull(run, request)
+		if err := encoder.Encode(reply); err != nil || reply.Refused != "" {
+			return
+		}
+	}
+}
+
+// answerPull waits a little for new entries, so that a replica hears of them
+// without delay and still hears from its primary regularly.
+func (s *state) answerPull(run context.Context, request pullRequest) pullReply {
+	timer := time.NewTimer(pullHold)
+	defer timer.Stop()
+	for {
+		reply, changed := s.pull(request)
+		if reply.Refused != "" || len(reply.Entries) > 0 || request.First {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return reply
+		case <-run.Done():
+			return pullReply{Refused: "shutting down"}
+		}
+	}
+}
+
+func (s *state) pull(request pullRequest) (pullReply, <-chan struct{}) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.role != upstream.RolePrimary || s.term != request.Term {
+		return pullReply{Refused: "not the primary of that term"}, s.changed
+	}
+	reply := pullReply{History: s.history}
+	if request.First {
+		reply.Keep = s.commonPrefix(request.History, request.From)
+		return reply, s.changed
+	}
+	if request.From > upstream.Offset(len(s.log)) {
+		return pullReply{Refused: "position is ahead of the primary"}, s.changed
+	}
+	end := min(len(s.log), int(request.From)+maxPullEntries)
+	reply.Entries = s.log[request.From:end]
+	reply.More = end < len(s.log)
+	return reply, s.changed
+}
+
+// commonPrefix returns how many entries of a log with the given history and
+// end are the same in this server's log: up to the earlier end of the last
+// term that both histories have in common.
+func (s *state) commonPrefix(other upstream.History, end upstream.Offset) upstream.Offset {
+	common := 0
+	for common < len(other) && common < len(s.history) && other[common] == s.history[common] {
+		common++
+	}
+	if common == 0 {
+		return 0
+	}
+	return min(termEnd(other, common, end), termEnd(s.history, common, upstream.Offset(len(s.log))))
+}
+
+func termEnd(history upstream.History, next int, end upstream.Offset) upstream.Offset {
+	if next < len(history) {
+		return history[next].Start
+	}
+	return end
+}
+
+// replicate follows whatever primary the state names until run ends.
+func (s *Server) replicate(run context.Context) {
+	for run.Err() == nil {
+		target, changed := s.state.target()
+		if target.address == "" || s.linkBroken.Load() {
+			waitFor(run, changed, pullTimeout)
+			continue
+		}
+		err := s.followOnce(run, target)
+		s.log.Debug("replication link ended", "primary", target.address, "error", err)
+		waitFor(run, nil, relinkDelay)
+	}
+}
+
+func waitFor(run context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-run.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// target is what a replica follows; it is valid while the state's link number
+// stays the same.
+type target struct {
+	address string
+	term    upstream.Term
+	link    uint64
+	history upstream.History
+	offset  upstream.Offset
+}
+
+func (s *state) target() (target, <-chan struct{}) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := target{
+		address: s.primary,
+		term:    s.term,
+		link:    s.link,
+		history: s.history,
+		offset:  upstream.Offset(len(s.log)),
+	}
+	if s.role != upstream.RoleReplica {
+		t.address = ""
+	}
+	return t, s.changed
+}
+
+// followOnce runs one link: it finds the common prefix, discards what lies
+// beyond it, then pulls until the link breaks or the target changes.
+func (s *Server) followOnce(run context.Context, t target) error {
+	ctx, cancel := context.WithCancel(run)
+	defer cancel()
+	conn, err := s.dialPrimary(ctx, t.address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	l := &link{server: s, target: t, conn: conn, encoder: gob.NewEncoder(conn), decoder: gob.NewDecoder(conn)}
+	l.arrived = make(chan struct{}, 1)
+	return l.run(ctx, cancel)
+}
+
+func (s *Server) dialPrimary(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: pullTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &fault.IO{Op: "dial primary " + address, Err: err}
+	}
+	startup := &pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{replicationParameter: "lovageslip"},
+	}
+	message, err := startup.Encode(nil)
+	if err == nil {
+		_, err = conn.Write(message)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, &fault.IO{Op: "open replication link", Err: err}
+	}
+	return conn, nil
+}
+
+// adopt makes the replica's log and history a prefix of the primary's.
+func (s *Server) adopt(t target, reply pullReply) error {
+	s.state.commit.Lock()
+	defer s.state.commit.Unlock()
+	if !s.state.current(t.link) {
+		return &linkRefused{detail: "target changed"}
+	}
+	if reply.Keep < t.offset {
+		s.log.Info("discarding forked entries", "kept", reply.Keep, "had", t.offset)
+		if err := s.store.rebuild(s.state.log[:reply.Keep]); err != nil {
+			return err
+		}
+		s.closeTransactions()
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	if reply.Keep < t.offset {
+		s.state.log = slices.Clone(s.state.log[:reply.Keep])
+		s.state.fresh = time.Time{}
+	}
+	s.state.adoptHistory(reply.History)
+	s.state.notify()
+	return nil
+}
+
+// adoptHistory takes over the terms that have begun at or before the end of
+// the replica's log. The caller holds mu.
+func (s *state) adoptHistory(primary upstream.History) {
+	end := upstream.Offset(len(s.log))
+	begun := 0
+	for begun < len(primary) && primary[begun].Start <= end {
+		begun++
+	}
+	if !slices.Equal(s.history, primary[:begun]) {
+		s.history = slices.Clone(primary[:begun])
+	}
+}
+
+func (s *state) current(link uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.link == link
+}
+
+func (s *state) heard(link uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link == link {
+		s.contact = time.Now()
+	}
+}
--- /dev/null
+++ b/standin/replicate_test.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/upstream"
+)
+
+// group starts a primary and replicas that follow it.
+func group(t *testing.T, replicas int, options Options) []*Server {
+	t.Helper()
+	servers := []*Server{start(t, options)}
+	options.Primary = servers[0].Address()
+	for range replicas {
+		servers = append(servers, start(t, options))
+	}
+	return servers
+}
+
+func reaches(t *testing.T, s *Server, p upstream.Position) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("server includes %v", p), func() bool { return s.Status().Includes(p) })
+}
+
+func command(t *testing.T, s *Server, sql string, args ...any) {
+	t.Helper()
+	run(t, dial(t, s), fmt.Sprintf("SELECT * FROM lovageslip_"+sql, args...))
+}
+
+// Guards against replicas that miss entries, apply them before the lag has
+// passed, take writes, or report an age that doesn't cover the lag.
+func TestReplicationWithLag(t *testing.T) {
+	const lag = 50 * time.Millisecond
+	servers := group(t, 2, Options{Lag: lag})
+	primary := dial(t, servers[0])
+	began := time.Now()
+	run(t, primary, "CREATE TABLE v (id INTEGER PRIMARY KEY, n TEXT)")
+	run(t, primary, "INSERT INTO v VALUES ($1, $2)", 1, "a")
+	for _, replica := range servers[1:] {
+		reaches(t, replica, servers[0].Status().Position())
+		assert.Assert(t, time.Since(began) >= lag)
+		conn := dial(t, replica)
+		assert.Equal(t, value[string](t, conn, "SELECT n FROM v WHERE id = $1", 1), "a")
+		expectCode(t, conn, "25006", "INSERT INTO v VALUES (2, 'b')")
+		assert.Assert(t, replica.Status().DataAge >= lag)
+	}
+}
+
+// Guards against entries of a replaced primary that survive on it.
+func TestForkIsDiscarded(t *testing.T) {
+	servers := group(t, 2, Options{})
+	old, chosen, other := servers[0], servers[1], servers[2]
+	conn := dial(t, old)
+	run(t, conn, "CREATE TABLE v (id INTEGER PRIMARY KEY, n TEXT)")
+	kept := old.Status().Position()
+	reaches(t, chosen, kept)
+	reaches(t, other, kept)
+	chosen.SetReplicationBroken(true)
+	other.SetReplicationBroken(true)
+	run(t, conn, "INSERT INTO v VALUES (1, 'forked')")
+	forked := old.Status().Position()
+	command(t, chosen, "fence(2)")
+	command(t, chosen, "promote(2)")
+	run(t, dial(t, chosen), "INSERT INTO v VALUES (1, 'kept'), (2, 'new')")
+	for _, s := range []*Server{old, other} {
+		s.SetReplicationBroken(false)
+		command(t, s, "follow(2, '%s')", chosen.Address())
+		reaches(t, s, chosen.Status().Position())
+		assert.Equal(t, value[string](t, dial(t, s), "SELECT n FROM v WHERE id = 1"), "kept")
+		assert.Assert(t, !s.Status().Includes(forked), "%+v", s.Status())
+		assert.Assert(t, s.Status().Includes(kept))
+	}
+}
+
+// Guards against a fenced server that still applies, commits or follows a
+// lower term.
+func TestFenceStopsLowerTerm(t *testing.T) {
+	servers := group(t, 2, Options{})
+	conn := dial(t, servers[0])
+	run(t, conn, "CREATE TABLE v (id INTEGER PRIMARY KEY)")
+	reaches(t, servers[1], servers[0].Status().Position())
+	reaches(t, servers[2], servers[0].Status().Position())
+	command(t, servers[1], "fence(2)")
+	fenced := servers[1].Status().Offset
+	run(t, conn, "INSERT INTO v VALUES (1)")
+	reaches(t, servers[2], servers[0].Status().Position())
+	assert.Equal(t, servers[1].Status().Offset, fenced)
+	expectCode(t, dial(t, servers[1]), "55L01", "SELECT * FROM lovageslip_follow(1, '"+servers[0].Address()+"')")
+	expectCode(t, dial(t, servers[1]), "55L01", "SELECT * FROM lovageslip_fence(1)")
+	run(t, conn, "BEGIN; INSERT INTO v VALUES (2)")
+	command(t, servers[0], "fence(2)")
+	expectCode(t, conn, "25006", "COMMIT")
+	expectCode(t, conn, "25006", "INSERT INTO v VALUES (3)")
+	assert.Equal(t, value[int64](t, conn, "SELECT count(*) FROM v"), int64(1))
+}
+
+// Guards against state that is lost when a server restarts.
+func TestRestartKeepsLogAndPromise(t *testing.T) {
+	servers := group(t, 1, Options{})
+	run(t, dial(t, servers[0]), "CREATE TABLE v (id INTEGER PRIMARY KEY)")
+	reaches(t, servers[1], servers[0].Status().Position())
+	servers[0].Kill()
+	assert.NilError(t, servers[0].Restart())
+	conn := dial(t, servers[0])
+	run(t, conn, "INSERT INTO v VALUES (1)")
+	reaches(t, servers[1], servers[0].Status().Position())
+	command(t, servers[1], "fence(5)")
+	servers[1].Kill()
+	assert.NilError(t, servers[1].Restart())
+	assert.Equal(t, servers[1].Status().Fenced, upstream.Term(5))
+}
+
+// Guards against a wait that ends early or not at all.
+func TestWaitForPosition(t *testing.T) {
+	servers := group(t, 1, Options{})
+	conn := dial(t, servers[1])
+	run(t, conn, "SELECT * FROM lovageslip_wait(1, 1, 1)")
+	assert.Equal(t, servers[1].Status().Offset, upstream.Offset(0))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = conn.Exec(t.Context(), "SELECT * FROM lovageslip_wait(1, 1, 60000)")
+	}()
+	run(t, dial(t, servers[0]), "CREATE TABLE v (id INTEGER PRIMARY KEY)")
+	<-done
+	assert.Equal(t, servers[1].Status().Offset, upstream.Offset(1))
+}
+
+// Guards against an age that stands still while the primary is unreachable.
+func TestAgeGrowsWithoutPrimary(t *testing.T) {
+	servers := group(t, 1, Options{})
+	replica := servers[1]
+	eventually(t, "replica in step", func() bool { return replica.Status().DataAge < time.Second })
+	servers[0].Kill()
+	lost := time.Now()
+	eventually(t, "age grows", func() bool { return time.Since(lost) > 200*time.Millisecond })
+	assert.Assert(t, replica.Status().DataAge >= 200*time.Millisecond)
+	assert.Assert(t, replica.Status().PrimaryContactAge >= 200*time.Millisecond)
+}
+
+// Guards against a frozen connection that answers, and against new ones that
+// don't.
+func TestFreeze(t *testing.T) {
+	server := start(t, Options{})
+	frozen := dial(t, server)
+	server.Freeze()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		_, _ = frozen.Exec(t.Context(), "SELECT 1")
+	}()
+	assert.Equal(t, value[int64](t, dial(t, server), "SELECT 1"), int64(1))
+	select {
+	case <-answered:
+		t.Fatal("a frozen connection answered")
+	default:
+	}
+	server.Unfreeze()
+	<-answered
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const startupTimeout = 10 * time.Second
+
+// accept takes connections until the listener closes.
+func (s *Server) accept(run context.Context, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if run.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				s.log.Warn("accepting a connection failed", "error", err)
+			}
+			return
+		}
+		if !s.track(conn) {
+			conn.Close()
+			continue
+		}
+		s.tasks.Go(func() {
+			defer s.untrack(conn)
+			s.serve(run, conn)
+		})
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running {
+		s.conns[conn] = struct{}{}
+	}
+	return s.running
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conn.Close()
+	delete(s.conns, conn)
+}
+
+// Codes in place of a protocol version in a start-up packet.
+const (
+	codeSSLRequest    = 80877103
+	codeGSSEncRequest = 80877104
+	codeCancelRequest = 80877102
+	maxStartupBytes   = 10000
+)
+
+// serve handles a connection by what its start-up packet asks for.
+func (s *Server) serve(run context.Context, conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(startupTimeout))
+	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	for {
+		body, err := readStartup(reader)
+		if err != nil {
+			return
+		}
+		switch binary.BigEndian.Uint32(body) {
+		case codeSSLRequest, codeGSSEncRequest:
+			if _, err := conn.Write([]byte{'N'}); err != nil {
+				return
+			}
+		case codeCancelRequest:
+			s.cancel(body)
+			return
+		default:
+			_ = conn.SetDeadline(time.Time{})
+			s.serveStartup(run, conn, reader, body)
+			return
+		}
+	}
+}
+
+func readStartup(reader *bufio.Reader) ([]byte, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length < 8 || length > maxStartupBytes {
+		return nil, &pgError{Code: codeProtocol, Message: "invalid length of startup packet"}
+	}
+	body := make([]byte, length-4)
+	_, err := io.ReadFull(reader, body)
+	return body, err
+}
+
+func (s *Server) serveStartup(run context.Context, conn net.Conn, reader *bufio.Reader, body []byte) {
+	var startup pgproto3.StartupMessage
+	if err := startup.Decode(body); err != nil {
+		return
+	}
+	if startup.Parameters[replicationParameter] != "" {
+		s.serveReplica(run, conn, reader)
+		return
+	}
+	if delay := time.Duration(s.delay.Load()); delay > 0 {
+		waitFor(run, nil, delay)
+	}
+	open := newSession(s, run, conn, reader, startup.Parameters)
+	if refused := s.register(open); refused != nil {
+		open.fatal(refused)
+		return
+	}
+	defer s.unregister(open)
+	if err := open.serve(); err != nil {
+		s.log.Debug("session ended", "pid", open.pid, "error", err)
+	}
+}
+
+func (s *Server) register(open *session) *pgError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := int(s.maxSessions.Load())
+	if limit > 0 && len(s.sessions) >= limit {
+		s.metrics.Counter("connections_refused").Inc(1)
+		return &pgError{Code: codeTooManyConnections, Severity: "FATAL", Message: "sorry, too many clients already"}
+	}
+	if !s.running {
+		return &pgError{Code: codeShutdown, Severity: "FATAL", Message: "the server is shutting down"}
+	}
+	s.nextPID++
+	open.pid = s.nextPID
+	open.secret = binary.BigEndian.AppendUint32(nil, rand.Uint32())
+	s.sessions[open.pid] = open
+	return nil
+}
+
+func (s *Server) unregister(open *session) {
+	s.mu.Lock()
+	delete(s.sessions, open.pid)
+	s.mu.Unlock()
+	open.end()
+}
+
+// cancel interrupts what the named session is running.
+func (s *Server) cancel(body []byte) {
+	var request pgproto3.CancelRequest
+	if err := request.Decode(body); err != nil {
+		return
+	}
+	s.mu.Lock()
+	open := s.sessions[request.ProcessID]
+	s.mu.Unlock()
+	if open != nil && bytes.Equal(request.SecretKey, open.secret) {
+		open.interrupt()
+	}
+}
+
+// closeTransactions ends the sessions that have a transaction open in SQLite,
+// because the server may not commit it any more.
+func (s *Server) closeTransactions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, open := range s.sessions {
+		if open.inDatabase.Load() {
+			open.interrupt()
+			open.conn.Close()
+		}
+	}
+}
+
+// closeWriters ends the sessions that hold SQLite's write lock, because a
+// server that follows must apply its primary's entries.
+func (s *Server) closeWriters() { s.closeTransactions() }
--- /dev/null
+++ b/standin/session.go
@@ -0,0 +1,279 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/mattn/go-sqlite3"
+
+	"lovageslip/fault"
+)
+
+const (
+	flushBytes        = 32 << 10
+	frozenPoll        = 20 * time.Millisecond
+	maxCachedQueries  = 256
+	maxCachedPrepared = 256
+)
+
+// session is one client connection. One goroutine runs it; interrupt and the
+// atomic fields may be used by others.
+type session struct {
+	server *Server
+	conn   net.Conn
+	in     messageReader
+	out    []byte
+	pid    uint32
+	secret []byte
+
+	frozen     atomic.Bool
+	inDatabase atomic.Bool
+
+	run context.Context
+	// cancelMu guards the three fields below.
+	cancelMu sync.Mutex
+	busy     bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	db         *sqlite3.SQLiteConn
+	generation int
+	schema     uint64
+	prepared   map[string]*prepared
+	queries    map[string][]*statement
+
+	statements map[string]*namedStatement
+	portals    map[string]*portal
+	settings   settings
+	tx         transaction
+	skipping   bool
+}
+
+func newSession(s *Server, run context.Context, conn net.Conn, reader *bufio.Reader, parameters map[string]string) *session {
+	return &session{
+		server:     s,
+		conn:       conn,
+		in:         messageReader{r: reader},
+		run:        run,
+		settings:   newSettings(parameters),
+		queries:    map[string][]*statement{},
+		prepared:   map[string]*prepared{},
+		statements: map[string]*namedStatement{},
+		portals:    map[string]*portal{},
+	}
+}
+
+func (s *session) send(message pgproto3.BackendMessage) {
+	// Encode fails only for messages above 1 GiB.
+	if out, err := message.Encode(s.out); err == nil {
+		s.out = out
+	}
+}
+
+// flush writes what has been sent. A frozen session keeps it back.
+func (s *session) flush() error {
+	for s.frozen.Load() {
+		if s.run.Err() != nil || peerClosed(s.conn) {
+			return net.ErrClosed
+		}
+		waitFor(s.run, nil, frozenPoll)
+	}
+	if len(s.out) == 0 {
+		return nil
+	}
+	_, err := s.conn.Write(s.out)
+	s.out = s.out[:0]
+	if cap(s.out) > 4*flushBytes {
+		s.out = nil
+	}
+	return err
+}
+
+func (s *session) flushIfLarge() error {
+	if len(s.out) < flushBytes {
+		return nil
+	}
+	return s.flush()
+}
+
+// fatal answers an error that ends the connection.
+func (s *session) fatal(err *pgError) {
+	err.Severity = "FATAL"
+	s.send(err.response())
+	_ = s.flush()
+}
+
+func (s *session) serve() error {
+	s.greet()
+	for {
+		if s.in.r.Buffered() == 0 {
+			if err := s.flush(); err != nil {
+				return err
+			}
+		}
+		kind, body, err := s.in.next()
+		if err != nil {
+			return err
+		}
+		if kind == 'X' {
+			return nil
+		}
+		s.setBusy()
+		if err := s.handle(kind, body); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *session) greet() {
+	s.send(&pgproto3.AuthenticationOk{})
+	for _, name := range reportedSettings {
+		s.send(&pgproto3.ParameterStatus{Name: name, Value: s.settings.show(name)})
+	}
+	s.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	s.ready()
+}
+
+func (s *session) handle(kind byte, body []byte) error {
+	message, err := s.in.decode(kind, body)
+	if err != nil {
+		return s.protocolError(err)
+	}
+	switch message := message.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(message.String)
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Flush:
+		return s.flush()
+	}
+	if s.skipping {
+		return nil
+	}
+	if failure := s.extended(message); failure != nil {
+		s.skipping = true
+		s.fail(failure)
+	}
+	return s.flushIfLarge()
+}
+
+func (s *session) protocolError(err error) error {
+	if failure, ok := err.(*pgError); ok {
+		s.fatal(failure)
+	}
+	return err
+}
+
+// fail answers an error and puts the transaction into the failed state.
+func (s *session) fail(failure *pgError) {
+	s.send(failure.response())
+	s.abort()
+}
+
+func (s *session) ready() {
+	s.setIdle()
+	s.send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
+}
+
+func (s *session) setBusy() {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	s.busy = true
+	if s.ctx == nil || s.ctx.Err() != nil {
+		s.ctx, s.cancel = context.WithCancel(s.run)
+	}
+}
+
+func (s *session) setIdle() {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	s.busy = false
+}
+
+// interrupt cancels what the session is running; an idle session ignores it.
+func (s *session) interrupt() {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	if s.busy {
+		s.cancel()
+	}
+}
+
+// end releases everything that the session holds.
+func (s *session) end() {
+	s.rollback()
+	s.tx = transaction{}
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.closeDatabase()
+}
+
+func (s *session) closeDatabase() {
+	if s.db == nil {
+		return
+	}
+	s.dropPrepared()
+	if err := s.db.Close(); err != nil {
+		s.server.log.Warn("closing the database failed", "error", err)
+	}
+	s.db = nil
+}
+
+func (s *session) dropPrepared() {
+	for sql, p := range s.prepared {
+		_ = p.stmt.Close()
+		delete(s.prepared, sql)
+	}
+}
+
+// openDatabase makes sure that the session has a connection to the current
+// database and no outdated descriptions. A transaction keeps its database.
+func (s *session) openDatabase() *pgError {
+	generation, schema := s.server.store.current()
+	if s.db != nil && s.generation != generation && !s.tx.began {
+		s.closeDatabase()
+	}
+	if s.db != nil && s.schema != schema {
+		s.dropPrepared()
+	}
+	s.schema = schema
+	if s.db != nil {
+		return nil
+	}
+	db, opened, err := s.server.store.open()
+	if err != nil {
+		return databaseError(err)
+	}
+	s.db, s.generation = db, opened
+	if err := s.registerFunctions(); err != nil {
+		return databaseError(err)
+	}
+	return nil
+}
+
+func (s *session) registerFunctions() error {
+	if err := s.db.RegisterFunc("pg_sleep", s.sleep, false); err != nil {
+		return &fault.IO{Op: "register pg_sleep", Err: err}
+	}
+	return s.db.RegisterFunc("now", now, false)
+}
+
+func now() string { return time.Now().UTC().Format("2006-01-02 15:04:05.999999") }
+
+// sleep is the SQL function pg_sleep(seconds).
+func (s *session) sleep(seconds float64) (string, error) {
+	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return "", nil
+	case <-s.ctx.Done():
+		return "", cancelledError()
+	}
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,282 @@
+// Package standin is a stand-in for the platform's database servers, for tests
+// and measurements. It speaks the PostgreSQL v3 protocol with SQLite behind it,
+// and provides the terms, log positions, replication and functions of
+// docs/design.md section 6. It is not part of the product.
+//
+// Replication copies the statements of committed transactions, so statements
+// whose result depends on time or chance differ between servers.
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/fault"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/upstream"
+)
+
+// DefaultConnectDelay is how long a server takes to accept a connection.
+const DefaultConnectDelay = 12 * time.Millisecond
+
+// Options describes a server.
+type Options struct {
+	Log     *slog.Logger
+	Metrics tally.Scope
+	// Name, Database and DataCentre are announced.
+	Name       string
+	Database   string
+	DataCentre string
+	// Address to listen on; 127.0.0.1:0 if empty.
+	Address string
+	// Dir holds the database files; a temporary directory if empty.
+	Dir string
+	// Primary is the address of the primary to follow; empty for a primary.
+	Primary string
+	// Term is the first term of the group; 1 if zero.
+	Term upstream.Term
+	// Lag delays the application of replicated entries.
+	Lag time.Duration
+	// ConnectDelay delays each new connection; DefaultConnectDelay if zero,
+	// none if negative.
+	ConnectDelay time.Duration
+	// ServiceTime is added to each statement, while it holds a slot.
+	ServiceTime time.Duration
+	// Slots is the number of statements executed at a time; 0 for no limit.
+	Slots int
+	// MaxConnections is the number of sessions; 0 for no limit.
+	MaxConnections int
+	// AnnounceTo lists base URLs of proxies or control hosts.
+	AnnounceTo []string
+}
+
+// Server is a running stand-in. Its methods are safe for concurrent use.
+type Server struct {
+	options Options
+	log     *slog.Logger
+	metrics tally.Scope
+	address string
+	tempDir string
+
+	state  *state
+	store  *store
+	slots  fifo
+	writer fifo
+
+	lag         atomic.Int64
+	delay       atomic.Int64
+	serviceTime atomic.Int64
+	maxSessions atomic.Int64
+	linkBroken  atomic.Bool
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	running  bool
+	listener net.Listener
+	sessions map[uint32]*session
+	conns    map[net.Conn]struct{}
+	nextPID  uint32
+	// run ends when the server is killed or closed.
+	run       context.Context
+	stop      context.CancelFunc
+	tasks     *conc.WaitGroup
+	announcer *announcer
+}
+
+// Start runs a server until Kill or Close.
+// Errors: *fault.IO if it can't listen or create its database.
+func Start(options Options) (*Server, error) {
+	s := newServer(options)
+	if err := s.openStore(); err != nil {
+		return nil, err
+	}
+	if err := s.listen(s.options.Address); err != nil {
+		return nil, err
+	}
+	if s.options.Primary != "" {
+		s.state.startAsReplica(s.options.Primary)
+	}
+	s.begin()
+	return s, nil
+}
+
+func newServer(options Options) *Server {
+	if options.Address == "" {
+		options.Address = "127.0.0.1:0"
+	}
+	if options.Term == 0 {
+		options.Term = 1
+	}
+	if options.ConnectDelay == 0 {
+		options.ConnectDelay = DefaultConnectDelay
+	}
+	s := &Server{
+		options: options,
+		log:     logging.For(options.Log, "standin").With("server", options.Name),
+		metrics: metrics.OrNoop(options.Metrics).SubScope("standin"),
+		state:   newState(options.Term),
+	}
+	s.writer.capacity = 1
+	s.slots.capacity = options.Slots
+	s.lag.Store(int64(options.Lag))
+	s.delay.Store(int64(options.ConnectDelay))
+	s.serviceTime.Store(int64(options.ServiceTime))
+	s.maxSessions.Store(int64(options.MaxConnections))
+	return s
+}
+
+func (s *Server) openStore() error {
+	dir := s.options.Dir
+	if dir == "" {
+		created, err := os.MkdirTemp("", "standin")
+		if err != nil {
+			return &fault.IO{Op: "create database directory", Err: err}
+		}
+		s.tempDir = created
+		dir = created
+	}
+	s.store = &store{dir: dir}
+	return s.store.create()
+}
+
+func (s *Server) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &fault.IO{Op: "listen on " + address, Err: err}
+	}
+	s.listener = listener
+	s.address = listener.Addr().String()
+	return nil
+}
+
+// begin starts the server's goroutines on a listener that is open.
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = true
+	s.sessions = map[uint32]*session{}
+	s.conns = map[net.Conn]struct{}{}
+	s.run, s.stop = context.WithCancel(context.Background())
+	s.tasks = conc.NewWaitGroup()
+	run, listener := s.run, s.listener
+	s.tasks.Go(func() { s.accept(run, listener) })
+	s.tasks.Go(func() { s.replicate(run) })
+	if len(s.options.AnnounceTo) > 0 {
+		s.announcer = newAnnouncer(s, s.options.AnnounceTo)
+		s.tasks.Go(func() { s.announcer.run(run) })
+	}
+}
+
+// Kill stops the server abruptly: its listener and connections close, and open
+// transactions are lost. Its log, role and promises remain for Restart.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	if !s.running {
+		s.mu.Unlock()
+		return
+	}
+	s.running = false
+	s.stop()
+	s.listener.Close()
+	for conn := range s.conns {
+		conn.Close()
+	}
+	tasks := s.tasks
+	s.mu.Unlock()
+	tasks.Wait()
+}
+
+// Restart starts a killed server on its former address.
+// Errors: *fault.IO if the address is taken.
+func (s *Server) Restart() error {
+	if err := s.listen(s.address); err != nil {
+		return err
+	}
+	s.state.restarted()
+	s.begin()
+	return nil
+}
+
+// Close stops the server for good and deletes its temporary files.
+func (s *Server) Close() {
+	s.Kill()
+	if s.tempDir != "" {
+		os.RemoveAll(s.tempDir)
+	}
+}
+
+// Address returns the IP number and port that the server listens on.
+func (s *Server) Address() string { return s.address }
+
+// Name returns the announced name.
+func (s *Server) Name() string { return s.options.Name }
+
+// Status returns the server's own status.
+func (s *Server) Status() upstream.Status { return s.state.status() }
+
+// SetLag changes the replication lag for entries fetched from now on.
+func (s *Server) SetLag(lag time.Duration) { s.lag.Store(int64(lag)) }
+
+// SetConnectDelay changes the time that a new connection takes.
+func (s *Server) SetConnectDelay(delay time.Duration) { s.delay.Store(int64(delay)) }
+
+// SetServiceTime changes the time added to each statement.
+func (s *Server) SetServiceTime(time time.Duration) { s.serviceTime.Store(int64(time)) }
+
+// SetSlots changes how many statements execute at a time; 0 for no limit.
+func (s *Server) SetSlots(slots int) { s.slots.setCapacity(slots) }
+
+// SetMaxConnections changes the limit on sessions; 0 for no limit. Sessions
+// that are open stay open.
+func (s *Server) SetMaxConnections(n int) { s.maxSessions.Store(int64(n)) }
+
+// SetReplicationBroken cuts the link to this replica's primary, or heals it.
+func (s *Server) SetReplicationBroken(broken bool) {
+	s.linkBroken.Store(broken)
+	if broken {
+		s.state.dropLink()
+	}
+}
+
+// Freeze makes the sessions that are open now stop answering, while new ones
+// work. Unfreeze lets them continue.
+func (s *Server) Freeze() { s.setFrozen(true) }
+
+// Unfreeze ends Freeze.
+func (s *Server) Unfreeze() { s.setFrozen(false) }
+
+func (s *Server) setFrozen(frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, open := range s.sessions {
+		open.frozen.Store(frozen)
+	}
+}
+
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// AnnounceLeaving tells every announced address that the server is leaving.
+// It returns once one has answered.
+func (s *Server) AnnounceLeaving(ctx context.Context) error {
+	s.mu.Lock()
+	a := s.announcer
+	s.mu.Unlock()
+	if a == nil {
+		return nil
+	}
+	return a.leave(ctx)
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,166 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"fmt"
+	"path/filepath"
+	"sync"
+
+	"github.com/mattn/go-sqlite3"
+
+	"lovageslip/fault"
+)
+
+// store is the server's SQLite database. When a forked tail of the log is
+// discarded, a new file of the next generation replaces the old one.
+type store struct {
+	dir string
+
+	// mu guards the fields below.
+	mu         sync.RWMutex
+	generation int
+	schema     uint64
+}
+
+func (s *store) path(generation int) string {
+	return filepath.Join(s.dir, fmt.Sprintf("data-%d.sqlite", generation))
+}
+
+// create makes an empty database file of the current generation.
+func (s *store) create() error {
+	db, _, err := s.open()
+	if err != nil {
+		return err
+	}
+	return db.Close()
+}
+
+// current returns the generation and the version of the schema.
+func (s *store) current() (int, uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.generation, s.schema
+}
+
+func (s *store) schemaChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.schema++
+}
+
+func (s *store) advance(generation int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation = generation
+	s.schema++
+}
+
+// open opens a connection to the current generation, which it returns too.
+func (s *store) open() (*sqlite3.SQLiteConn, int, error) {
+	generation, _ := s.current()
+	db, err := s.openGeneration(generation)
+	return db, generation, err
+}
+
+// Durability is not under test, so nothing is synced.
+const sqliteSettings = "?_journal_mode=WAL&_synchronous=OFF&_busy_timeout=5000&_stmt_cache_size=64"
+
+func (s *store) openGeneration(generation int) (*sqlite3.SQLiteConn, error) {
+	path := s.path(generation)
+	conn, err := (&sqlite3.SQLiteDriver{}).Open("file:" + path + sqliteSettings)
+	if err != nil {
+		return nil, &fault.IO{Op: "open " + path, Err: err}
+	}
+	return conn.(*sqlite3.SQLiteConn), nil
+}
+
+// applyEntries runs logged transactions in one transaction of SQLite.
+func applyEntries(db *sqlite3.SQLiteConn, entries []entry) error {
+	if _, err := db.Exec("BEGIN IMMEDIATE", nil); err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if err := applyStatements(db, e.Statements); err != nil {
+			_, _ = db.Exec("ROLLBACK", nil)
+			return err
+		}
+	}
+	_, err := db.Exec("COMMIT", nil)
+	return err
+}
+
+func applyStatements(db *sqlite3.SQLiteConn, statements []loggedStatement) error {
+	for _, logged := range statements {
+		args := make([]driver.Value, len(logged.Args))
+		for i, v := range logged.Args {
+			args[i] = v.value()
+		}
+		if _, err := db.Exec(logged.SQL, args); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rebuild creates the next generation from a prefix of the log. The caller
+// holds the state's commit lock.
+func (s *store) rebuild(entries []entry) error {
+	generation, _ := s.current()
+	db, err := s.openGeneration(generation + 1)
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	if err := applyEntries(db, entries); err != nil {
+		return &fault.IO{Op: "rebuild database", Err: err}
+	}
+	s.advance(generation + 1)
+	return nil
+}
+
+type valueKind byte
+
+const (
+	kindNull valueKind = iota
+	kindInt
+	kindFloat
+	kindText
+	kindBlob
+)
+
+// loggedValue is an argument in a form that encoding/gob can carry.
+type loggedValue struct {
+	Kind  valueKind
+	Int   int64
+	Float float64
+	Text  string
+	Blob  []byte
+}
+
+func logValue(v any) loggedValue {
+	switch v := v.(type) {
+	case int64:
+		return loggedValue{Kind: kindInt, Int: v}
+	case float64:
+		return loggedValue{Kind: kindFloat, Float: v}
+	case string:
+		return loggedValue{Kind: kindText, Text: v}
+	case []byte:
+		return loggedValue{Kind: kindBlob, Blob: v}
+	}
+	return loggedValue{}
+}
+
+func (v loggedValue) value() driver.Value {
+	switch v.Kind {
+	case kindInt:
+		return v.Int
+	case kindFloat:
+		return v.Float
+	case kindText:
+		return v.Text
+	case kindBlob:
+		return append([]byte{}, v.Blob...)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/transaction.go
@@ -0,0 +1,312 @@
+package standin
+
+import (
+	"strings"
+
+	"lovageslip/upstream"
+)
+
+// transaction is the state of a session's transaction. The zero value is no
+// transaction.
+type transaction struct {
+	// explicit is true after BEGIN.
+	explicit bool
+	failed   bool
+	readOnly bool
+	// began is true if SQLite has a transaction open.
+	began bool
+	// writer is true while the session holds the server's write lock.
+	writer     bool
+	term       upstream.Term
+	statements []loggedStatement
+	savepoints []savepoint
+}
+
+type savepoint struct {
+	name       string
+	statements int
+}
+
+func (t *transaction) status() byte {
+	switch {
+	case t.failed:
+		return 'E'
+	case t.explicit:
+		return 'T'
+	}
+	return 'I'
+}
+
+func (s *session) readOnly() bool {
+	if s.tx.explicit {
+		return s.tx.readOnly
+	}
+	return s.settings.readOnly()
+}
+
+// beginInDatabase opens SQLite's transaction. It is called late, so that a
+// transaction that does nothing costs nothing.
+func (s *session) beginInDatabase() *pgError {
+	if s.tx.began {
+		return nil
+	}
+	if _, err := s.db.Exec("BEGIN", nil); err != nil {
+		return databaseError(err)
+	}
+	s.tx.began = true
+	s.inDatabase.Store(true)
+	return nil
+}
+
+// prepareWrite checks that the server takes writes and acquires the write
+// lock, in order of arrival, so that SQLite never has to wait for its own.
+func (s *session) prepareWrite(keyword string) *pgError {
+	if s.readOnly() {
+		return readOnlyError(keyword)
+	}
+	if _, ok := s.server.state.mayWrite(); !ok {
+		return readOnlyError(keyword)
+	}
+	if !s.tx.writer {
+		if err := s.server.writer.acquire(s.ctx); err != nil {
+			return cancelledError()
+		}
+		s.tx.writer = true
+	}
+	if err := s.beginInDatabase(); err != nil {
+		return err
+	}
+	// Checked again after the transaction is visible to closeTransactions,
+	// so that a server that lost its role in between holds no lock.
+	term, ok := s.server.state.mayWrite()
+	if !ok || len(s.tx.statements) > 0 && s.tx.term != term {
+		return readOnlyError(keyword)
+	}
+	s.tx.term = term
+	return nil
+}
+
+// commit ends SQLite's transaction and logs what it wrote.
+func (s *session) commit() *pgError {
+	if !s.tx.began {
+		return nil
+	}
+	commit := func() error {
+		_, err := s.db.Exec("COMMIT", nil)
+		return err
+	}
+	var err error
+	if len(s.tx.statements) == 0 {
+		err = commit()
+	} else {
+		err = s.server.state.commitEntry(s.tx.term, s.tx.statements, commit)
+	}
+	if err != nil {
+		s.rollback()
+		return databaseError(err)
+	}
+	s.noteSchemaChange()
+	s.leaveDatabase()
+	return nil
+}
+
+func (s *session) noteSchemaChange() {
+	for _, logged := range s.tx.statements {
+		if logged.Schema {
+			s.server.store.schemaChanged()
+			return
+		}
+	}
+}
+
+// rollback undoes SQLite's transaction and releases the write lock.
+func (s *session) rollback() {
+	if s.tx.began {
+		if _, err := s.db.Exec("ROLLBACK", nil); err != nil {
+			s.server.log.Debug("rollback failed", "error", err)
+		}
+	}
+	s.leaveDatabase()
+}
+
+func (s *session) leaveDatabase() {
+	s.tx.began = false
+	s.inDatabase.Store(false)
+	if s.tx.writer {
+		s.tx.writer = false
+		s.server.writer.release()
+	}
+	s.tx.statements = nil
+	s.tx.savepoints = nil
+}
+
+// abort is called after an error. A transaction without savepoints gives up
+// its locks at once.
+func (s *session) abort() {
+	if s.tx.explicit {
+		s.tx.failed = true
+		if len(s.tx.savepoints) > 0 {
+			return
+		}
+	}
+	s.rollback()
+}
+
+// endImplicit commits what a Query or the messages up to a Sync wrote outside
+// of an explicit transaction.
+func (s *session) endImplicit() *pgError {
+	if s.tx.explicit {
+		return nil
+	}
+	failure := s.commit()
+	s.tx = transaction{}
+	return failure
+}
+
+// control runs transaction statements. It returns false for other statements.
+func (s *session) control(st *statement) (string, *pgError, bool) {
+	switch st.keyword {
+	case "BEGIN", "START":
+		tag, failure := s.begin(st)
+		return tag, failure, true
+	case "COMMIT", "END":
+		tag, failure := s.commitExplicit()
+		return tag, failure, true
+	case "ROLLBACK", "ABORT":
+		if name, ok := rollbackTarget(st); ok {
+			tag, failure := s.rollbackTo(name)
+			return tag, failure, true
+		}
+		s.rollback()
+		s.tx = transaction{}
+		return "ROLLBACK", nil, true
+	}
+	return "", nil, false
+}
+
+func (s *session) begin(st *statement) (string, *pgError) {
+	if s.tx.failed {
+		return "", failedTransaction()
+	}
+	if s.tx.explicit {
+		s.send(warning(codeActiveTransaction, "there is already a transaction in progress"))
+		return "BEGIN", nil
+	}
+	s.tx.explicit = true
+	s.tx.readOnly = s.settings.readOnly()
+	s.setAccess(st)
+	if st.keyword == "START" {
+		return "START TRANSACTION", nil
+	}
+	return "BEGIN", nil
+}
+
+// setAccess applies READ ONLY or READ WRITE, wherever a statement has it.
+func (s *session) setAccess(st *statement) {
+	for i := range st.tokens {
+		if st.word(i) != "READ" {
+			continue
+		}
+		switch st.word(i + 1) {
+		case "ONLY":
+			s.tx.readOnly = true
+		case "WRITE":
+			s.tx.readOnly = false
+		}
+	}
+}
+
+func (s *session) commitExplicit() (string, *pgError) {
+	if s.tx.failed {
+		s.rollback()
+		s.tx = transaction{}
+		return "ROLLBACK", nil
+	}
+	if !s.tx.explicit {
+		s.send(warning("25P01", "there is no transaction in progress"))
+	}
+	failure := s.commit()
+	s.tx = transaction{}
+	return "COMMIT", failure
+}
+
+// rollbackTarget returns the savepoint of ROLLBACK [WORK] TO [SAVEPOINT] name.
+func rollbackTarget(st *statement) (string, bool) {
+	for i := range st.tokens {
+		if st.word(i) != "TO" {
+			continue
+		}
+		if st.word(i+1) == "SAVEPOINT" {
+			i++
+		}
+		return st.word(i + 1), true
+	}
+	return "", false
+}
+
+func (s *session) savepoint(st *statement) (string, *pgError) {
+	if !s.tx.explicit {
+		return "", &pgError{Code: "25P01", Message: "SAVEPOINT can only be used in transaction blocks"}
+	}
+	if failure := s.openDatabase(); failure != nil {
+		return "", failure
+	}
+	if failure := s.beginInDatabase(); failure != nil {
+		return "", failure
+	}
+	name := st.word(1)
+	if _, err := s.db.Exec("SAVEPOINT "+quoteName(name), nil); err != nil {
+		return "", databaseError(err)
+	}
+	s.tx.savepoints = append(s.tx.savepoints, savepoint{name: name, statements: len(s.tx.statements)})
+	return "SAVEPOINT", nil
+}
+
+func (s *session) releaseSavepoint(st *statement) (string, *pgError) {
+	name := st.word(len(st.tokens) - 1)
+	at := s.findSavepoint(name)
+	if at < 0 {
+		return "", noSavepoint(name)
+	}
+	if _, err := s.db.Exec("RELEASE "+quoteName(name), nil); err != nil {
+		return "", databaseError(err)
+	}
+	s.tx.savepoints = s.tx.savepoints[:at]
+	return "RELEASE", nil
+}
+
+func (s *session) rollbackTo(name string) (string, *pgError) {
+	at := s.findSavepoint(name)
+	if at < 0 {
+		return "", noSavepoint(name)
+	}
+	if _, err := s.db.Exec("ROLLBACK TO "+quoteName(name), nil); err != nil {
+		return "", databaseError(err)
+	}
+	s.tx.statements = s.tx.statements[:s.tx.savepoints[at].statements]
+	s.tx.savepoints = s.tx.savepoints[:at+1]
+	s.tx.failed = false
+	return "ROLLBACK", nil
+}
+
+func (s *session) findSavepoint(name string) int {
+	for i := len(s.tx.savepoints) - 1; i >= 0; i-- {
+		if s.tx.savepoints[i].name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func noSavepoint(name string) *pgError {
+	return &pgError{Code: "3B001", Message: "savepoint " + name + " does not exist"}
+}
+
+func failedTransaction() *pgError {
+	message := "current transaction is aborted, commands ignored until end of transaction block"
+	return &pgError{Code: codeFailedTransaction, Message: message}
+}
+
+func quoteName(name string) string {
+	return `"` + strings.ReplaceAll(name, `"`, `""`) + `"`
+}
