Add PostgreSQL v3 adapter of the upstream port

Reads are pipelined behind a mode change and a status query, writes are followed by a status query and withheld from their first acknowledgement on. Includes prepared statements on demand, the request ledger and cancellation.

--- /dev/null
+++ b/upstream/pgupstream/dial.go
@@ -0,0 +1,137 @@
+// Package pgupstream implements the upstream port over the PostgreSQL v3
+// protocol. Answers pass through as raw messages; only the messages that carry
+// outcomes are decoded.
+package pgupstream
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/fault"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/upstream"
+)
+
+const (
+	defaultUser        = "lovageslip"
+	defaultDialTimeout = 5 * time.Second
+)
+
+// Options configures a Dialer.
+type Options struct {
+	Log     *slog.Logger
+	Metrics tally.Scope
+	// User to connect as; "lovageslip" if empty.
+	User string
+	// DialTimeout bounds a Dial whose context has no earlier deadline; 5 s
+	// if zero.
+	DialTimeout time.Duration
+}
+
+// Dialer opens connections with trust authentication. It is safe for
+// concurrent use.
+type Dialer struct {
+	options Options
+	log     *slog.Logger
+	metrics tally.Scope
+}
+
+var _ upstream.Dialer = (*Dialer)(nil)
+
+// NewDialer returns a Dialer.
+func NewDialer(options Options) *Dialer {
+	if options.User == "" {
+		options.User = defaultUser
+	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = defaultDialTimeout
+	}
+	return &Dialer{
+		options: options,
+		log:     logging.For(options.Log, "pgupstream"),
+		metrics: metrics.OrNoop(options.Metrics).SubScope("pgupstream"),
+	}
+}
+
+// Dial connects to the server at address.
+// Errors: *fault.NotRun with ReasonUpstreamUnavailable; its detail names the
+// SQLSTATE if the server refused the connection.
+func (d *Dialer) Dial(ctx context.Context, address, database string) (upstream.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.options.DialTimeout)
+	defer cancel()
+	socket, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, unavailable("dial " + address + ": " + err.Error())
+	}
+	c := newConn(d, socket, address)
+	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Now()) })
+	err = c.startup(database)
+	if !stop() && err == nil {
+		err = unavailable("dial " + address + ": " + ctx.Err().Error())
+	}
+	if err != nil {
+		socket.Close()
+		return nil, err
+	}
+	d.metrics.Counter("dialed").Inc(1)
+	return c, nil
+}
+
+func unavailable(detail string) *fault.NotRun {
+	return &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable, Detail: detail}
+}
+
+func (c *Conn) startup(database string) error {
+	message := &pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": c.dialer.options.User, "database": database},
+	}
+	raw, err := message.Encode(nil)
+	if err == nil {
+		_, err = c.socket.Write(raw)
+	}
+	if err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	for {
+		kind, body, err := c.in.message()
+		if err != nil {
+			return unavailable("start-up: " + err.Error())
+		}
+		done, err := c.startupMessage(kind, body)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) startupMessage(kind byte, body []byte) (bool, error) {
+	switch kind {
+	case 'R':
+		if len(body) < 4 || body[3] != 0 {
+			return false, unavailable("start-up: the server asks for authentication")
+		}
+	case 'K':
+		var key pgproto3.BackendKeyData
+		if err := key.Decode(body); err != nil {
+			return false, unavailable("start-up: " + err.Error())
+		}
+		c.pid, c.secret = key.ProcessID, key.SecretKey
+	case 'E':
+		failure := parseError(body)
+		return false, unavailable("refused with SQLSTATE " + failure.Code + ": " + failure.Message)
+	case 'Z':
+		c.state = upstream.StateIdle
+		return true, nil
+	case 'S', 'N':
+	default:
+		return false, unavailable("start-up: unexpected message " + string(rune(kind)))
+	}
+	return false, nil
+}
--- /dev/null
+++ b/upstream/pgupstream/run.go
@@ -0,0 +1,266 @@
+package pgupstream
+
+import (
+	"context"
+
+	"lovageslip/fault"
+	"lovageslip/upstream"
+)
+
+const (
+	codeReadOnly  = "25006"
+	codeCancelled = "57014"
+)
+
+// Run executes a batch; see upstream.Conn. When ctx ends, the batch is
+// cancelled at the server, and Run returns within abortDrain.
+//
+// With a request id that a committed batch has used, but whose answer isn't
+// stored, Run returns *fault.AlreadyCommitted together with a Result whose After
+// covers that commit.
+func (c *Conn) Run(ctx context.Context, batch upstream.Batch, check upstream.Check, sink upstream.Sink) (upstream.Result, error) {
+	r, err := newRequest(batch, c.prepared)
+	if err != nil {
+		return upstream.Result{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return upstream.Result{}, &fault.NotRun{Reason: fault.ReasonCancelled, Detail: err.Error()}
+	}
+	c.gate <- struct{}{}
+	c.sequence.Add(1)
+	if err := c.checkUsable(); err != nil {
+		<-c.gate
+		return upstream.Result{}, err
+	}
+	endWatch := c.abortOn(ctx)
+	result, err := c.run(batch, r, check, sink)
+	if c.running {
+		c.leaveBatch()
+	}
+	if absorbErr := c.absorbCancel(); absorbErr != nil && err == nil && !result.Committed {
+		err = absorbErr
+	}
+	<-c.gate
+	endWatch()
+	return result, err
+}
+
+func (c *Conn) run(batch upstream.Batch, r *request, check upstream.Check, sink upstream.Sink) (upstream.Result, error) {
+	switch {
+	case batch.Mode == upstream.ModeRead:
+		return c.runRead(r, check, sink)
+	case batch.RequestID != "" && c.state == upstream.StateIdle:
+		return c.runOnce(batch.RequestID, r, sink)
+	}
+	return c.runWrite(r, sink)
+}
+
+// modeChange returns the statement that sets the connection's mode, or "" if it
+// is set. The mode of an open transaction doesn't change.
+func (c *Conn) modeChange(readOnly bool) string {
+	if c.state != upstream.StateIdle || c.readOnly == readOnly {
+		return ""
+	}
+	if readOnly {
+		return "SET " + readOnlySetting + " = on"
+	}
+	return "SET " + readOnlySetting + " = off"
+}
+
+// readModeChange reads the answer to modeChange. The batch behind it runs in
+// the wrong mode if it failed, so nothing of the batch may be believed then.
+func (c *Conn) readModeChange(sql string, readOnly bool) error {
+	if sql == "" {
+		return nil
+	}
+	result, err := c.readRows()
+	if err != nil {
+		return err
+	}
+	if result.failure != nil {
+		return c.fail(result.failure)
+	}
+	c.readOnly = readOnly
+	return nil
+}
+
+// runRead sends [mode change] [status query] [batch] in one go.
+func (c *Conn) runRead(r *request, check upstream.Check, sink upstream.Sink) (upstream.Result, error) {
+	wasIdle := c.state == upstream.StateIdle
+	if c.state == upstream.StateFailed {
+		// Nothing can be read in a failed transaction, not even the status.
+		check = nil
+	}
+	change := c.modeChange(true)
+	out := make([]byte, 0, len(r.out)+128)
+	if change != "" {
+		out = appendQuery(out, change)
+	}
+	out = appendQuery(out, statusSQL)
+	out = append(out, r.out...)
+	if err := c.send(out); err != nil {
+		return upstream.Result{}, err
+	}
+	if err := c.readModeChange(change, true); err != nil {
+		return upstream.Result{}, err
+	}
+	checkErr, err := c.readCheck(check)
+	if err != nil {
+		return upstream.Result{}, err
+	}
+	a := &answer{conn: c, sink: sink, hold: holdHead, queue: r.queue, discard: checkErr != nil}
+	c.enterBatch()
+	err = a.read()
+	c.leaveBatch()
+	if err != nil {
+		return upstream.Result{}, err
+	}
+	return c.endRead(a, checkErr, wasIdle)
+}
+
+// readCheck reads the status that precedes a read and lets check judge it.
+func (c *Conn) readCheck(check upstream.Check) (checkErr, err error) {
+	result, err := c.readRows()
+	if err != nil {
+		return nil, err
+	}
+	if result.failure != nil {
+		if check == nil {
+			return nil, nil
+		}
+		return result.failure, nil
+	}
+	status, err := c.statusOf(result)
+	if err != nil || check == nil {
+		return nil, err
+	}
+	return check(status), nil
+}
+
+func (c *Conn) endRead(a *answer, checkErr error, wasIdle bool) (upstream.Result, error) {
+	if checkErr != nil {
+		return upstream.Result{}, c.rollbackAfter(checkErr)
+	}
+	if a.code() == codeReadOnly && !a.passed && wasIdle {
+		refused := &fault.NotRun{Reason: fault.ReasonReadOnly, Detail: a.failure.Message}
+		return upstream.Result{}, c.rollbackAfter(refused)
+	}
+	result := upstream.Result{State: c.state, DatabaseError: a.failure != nil}
+	return result, c.finishAnswer(a)
+}
+
+// rollbackAfter cleans the connection and returns the error that made it
+// necessary.
+func (c *Conn) rollbackAfter(cause error) error {
+	if err := c.rollback(); err != nil {
+		c.dialer.log.Debug("rollback failed", "address", c.address, "error", err)
+	}
+	return cause
+}
+
+// finishAnswer passes on the rest. A caller that takes no more of its answer
+// leaves the connection clean, because the answer has been read to its end.
+func (c *Conn) finishAnswer(a *answer) error {
+	if err := a.finish(); err != nil {
+		return c.rollbackAfter(err)
+	}
+	return nil
+}
+
+// runWrite sends [mode change] [batch] and a status query, at once if the batch
+// will probably leave no transaction open.
+func (c *Conn) runWrite(r *request, sink upstream.Sink) (upstream.Result, error) {
+	change := c.modeChange(false)
+	pipelined := c.state == upstream.StateIdle && !r.opensTransaction()
+	out := make([]byte, 0, len(r.out)+128)
+	if change != "" {
+		out = appendQuery(out, change)
+	}
+	out = append(out, r.out...)
+	if pipelined {
+		out = appendQuery(out, statusSQL)
+	}
+	if err := c.send(out); err != nil {
+		return upstream.Result{}, err
+	}
+	if err := c.readModeChange(change, false); err != nil {
+		return upstream.Result{}, err
+	}
+	a := &answer{conn: c, sink: sink, hold: holdFromAck, queue: r.queue}
+	c.enterBatch()
+	err := a.read()
+	c.leaveBatch()
+	if err != nil {
+		return upstream.Result{}, err
+	}
+	after, err := c.statusAfter(pipelined)
+	if err != nil {
+		return upstream.Result{}, err
+	}
+	return c.endWrite(a, after)
+}
+
+// statusAfter returns the status after a batch, or nil if the server doesn't
+// give it inside a failed transaction. A cancel request that came late may have
+// hit the pipelined query, which is then repeated.
+func (c *Conn) statusAfter(pipelined bool) (*upstream.Status, error) {
+	if pipelined {
+		state := c.state
+		result, err := c.readRows()
+		if err != nil {
+			return nil, err
+		}
+		if result.failure == nil {
+			status, err := c.statusOf(result)
+			return &status, err
+		}
+		if state != upstream.StateIdle {
+			return nil, nil
+		}
+	}
+	result, err := c.query(statusSQL)
+	if err != nil {
+		return nil, err
+	}
+	if result.failure != nil && c.state != upstream.StateIdle {
+		return nil, nil
+	}
+	if result.failure != nil {
+		return nil, c.fail(result.failure)
+	}
+	status, err := c.statusOf(result)
+	return &status, err
+}
+
+// leads reports whether the server may commit writes.
+func leads(s *upstream.Status) bool {
+	return s.Role == upstream.RolePrimary && s.Fenced <= s.Term
+}
+
+func (c *Conn) endWrite(a *answer, after *upstream.Status) (upstream.Result, error) {
+	if a.code() == codeReadOnly && !a.passed && after != nil && !leads(after) {
+		refused := &fault.NotRun{Reason: fault.ReasonNotPrimary, Detail: a.failure.Message}
+		return upstream.Result{}, c.rollbackAfter(refused)
+	}
+	result := upstream.Result{State: c.state, DatabaseError: a.failure != nil}
+	if c.state != upstream.StateIdle {
+		return result, c.finishAnswer(a)
+	}
+	result.After = *after
+	if !a.mayHaveCommitted() {
+		return result, c.finishAnswer(a)
+	}
+	result.Committed = true
+	var err error
+	result.Tail, err = a.tail()
+	return result, err
+}
+
+// mayHaveCommitted reports whether a batch that left no transaction open may
+// have committed a write.
+func (a *answer) mayHaveCommitted() bool {
+	if a.committed {
+		return true
+	}
+	return a.failure == nil && !a.rolledBack
+}
--- /dev/null
+++ b/upstream/pgupstream/socket.go
@@ -0,0 +1,31 @@
+package pgupstream
+
+import (
+	"net"
+	"syscall"
+)
+
+// socketUsable reports whether the server has neither closed the connection
+// nor said goodbye on it. A batch that is not sent on a dead connection has
+// certainly not run.
+func socketUsable(socket net.Conn) bool {
+	holder, ok := socket.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	usable := true
+	err = raw.Control(func(fd uintptr) {
+		var first [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != nil {
+			usable = err == syscall.EAGAIN || err == syscall.EINTR
+			return
+		}
+		usable = n == 1 && first[0] != 'E'
+	})
+	return usable && err == nil
+}
