--- /dev/null
+++ b/failover/failover_test.go
@@ -0,0 +1,296 @@
+package failover_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lovageslip/controlstate"
+	"lovageslip/failover"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// leaseExpiry is short, because member changes wait for it.
+const leaseExpiry = 100 * time.Millisecond
+
+// leader is a control leader that supervises the fake group.
+type leader struct {
+	journal *fakeJournal
+	stop    func()
+}
+
+func startLeader(t *testing.T, n *fakeNet, state *controlstate.State, term uint64, c *crash) *leader {
+	t.Helper()
+	j := newJournal(state, term, c)
+	s := failover.New(failover.Options{Dialer: &view{net: n, crash: c}, Journal: j, LeaseExpiry: leaseExpiry})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil && c.alive() {
+			n.catchUp()
+			j.reportAll(n, 0)
+			s.Tick(ctx)
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		s.Wait()
+	}()
+	stop := func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return &leader{journal: j, stop: stop}
+}
+
+func (l *leader) logged() int {
+	l.journal.mu.Lock()
+	defer l.journal.mu.Unlock()
+	return l.journal.logged
+}
+
+func register(state *controlstate.State, name string, leaving bool) {
+	apply(state, &pb.Command{Command: &pb.Command_Register{Register: &pb.RegisterUpstream{Announce: &pb.AnnounceRequest{
+		Name: name, Database: "shop", Address: "127.0.0.1:" + name, Leaving: leaving, Slots: 1, MaxConnections: 10,
+	}}}})
+}
+
+// newState returns the state of a group whose first server leads term 1.
+func newState(names ...string) *controlstate.State {
+	state := controlstate.New(controlstate.Options{})
+	for _, name := range names {
+		register(state, name, false)
+	}
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_AdoptPrimary{AdoptPrimary: &pb.AdoptPrimary{
+		Database: "shop", Term: 1, Upstream: names[0],
+	}}})
+	return state
+}
+
+func group(state *controlstate.State) *pb.Group { return state.Frame().Groups["shop"] }
+
+func waitFor(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for %s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func changed(state *controlstate.State) func() bool {
+	return func() bool { return group(state).GetTerm() > 1 && group(state).GetPrimary() != "" }
+}
+
+// checkOnePrimaryPerTerm guards against two servers that led one term.
+func checkOnePrimaryPerTerm(t *testing.T, n *fakeNet) {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for term, servers := range n.led {
+		assert.Assert(t, len(servers) <= 1, "term %d was led by %v", term, servers)
+	}
+}
+
+// checkKept guards against the loss of an acknowledged entry.
+func checkKept(t *testing.T, n *fakeNet, state *controlstate.State, p upstream.Position) {
+	t.Helper()
+	s := n.get(group(state).GetPrimary())
+	assert.Equal(t, s.role, upstream.RolePrimary)
+	assert.Equal(t, uint64(s.term), group(state).GetTerm())
+	status := upstream.Status{Term: s.term, Offset: s.offset, History: s.history}
+	assert.Assert(t, status.Includes(p), "primary %s lost %v", s.name, p)
+}
+
+// A control leader may die at any interaction, before or after that takes
+// effect. Another one must finish the change, with one primary per term and
+// without the loss of an acknowledged write.
+func TestInterruptedChangeIsResumedByAnotherLeader(t *testing.T) {
+	for _, effect := range []bool{false, true} {
+		for after := 1; ; after++ {
+			c := &crash{after: after, effect: effect}
+			t.Run(fmt.Sprintf("effect=%t/interaction=%d", effect, after), func(t *testing.T) { interrupt(t, c) })
+			if c.alive() {
+				break
+			}
+		}
+	}
+}
+
+func interrupt(t *testing.T, c *crash) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10, "b")
+	n.edit("a", func(s *fakeServer) { s.down = true })
+	first := startLeader(t, n, state, 2, c)
+	waitFor(t, "crash or end", func() bool { return !c.alive() || changed(state)() })
+	first.stop()
+	startLeader(t, n, state, 3, nil)
+	waitFor(t, "new primary", changed(state))
+	checkOnePrimaryPerTerm(t, n)
+	checkKept(t, n, state, upstream.Position{Term: 1, Offset: 10})
+	waitFor(t, "c to follow", func() bool { return uint64(n.get("c").term) == group(state).GetTerm() })
+}
+
+// An answer that is lost leaves the leader in doubt whether the call took
+// effect; repeating it must be safe.
+func TestLostAnswersOfFenceAndPromote(t *testing.T) {
+	for _, kind := range []string{"fence", "promote"} {
+		t.Run(kind, func(t *testing.T) {
+			n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+			n.write("a", 10, "b")
+			for _, name := range []string{"b", "c"} {
+				n.edit(name, func(s *fakeServer) { s.loseAnswers[kind] = 2 })
+			}
+			n.edit("a", func(s *fakeServer) { s.down = true })
+			startLeader(t, n, state, 2, nil)
+			waitFor(t, "new primary", changed(state))
+			checkOnePrimaryPerTerm(t, n)
+			checkKept(t, n, state, upstream.Position{Term: 1, Offset: 10})
+		})
+	}
+}
+
+// A leader that does not know yet that it was replaced acts on the same group
+// as its successor.
+func TestTwoLeadersRaceOnOneGroup(t *testing.T) {
+	for range 10 {
+		n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+		n.write("a", 10, "c")
+		n.edit("a", func(s *fakeServer) { s.down = true })
+		startLeader(t, n, state, 2, nil)
+		startLeader(t, n, state, 3, nil)
+		waitFor(t, "new primary", changed(state))
+		checkOnePrimaryPerTerm(t, n)
+		checkKept(t, n, state, upstream.Position{Term: 1, Offset: 10})
+	}
+}
+
+// An old primary that returns must follow the new one and drop the entries
+// that nobody had acknowledged.
+func TestReturningOldPrimaryFollows(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10, "b", "c")
+	n.write("a", 7)
+	n.edit("a", func(s *fakeServer) { s.down = true })
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "new primary", changed(state))
+	n.edit("a", func(s *fakeServer) { s.down = false })
+	waitFor(t, "old primary to follow", func() bool {
+		a := n.get("a")
+		return a.role == upstream.RoleReplica && a.offset == 10 && uint64(a.term) == group(state).GetTerm()
+	})
+	checkOnePrimaryPerTerm(t, n)
+}
+
+// With two of three servers lost there must be no promotion, and the
+// remaining one must not be disturbed.
+func TestTwoOfThreeLostGivesNoPromotion(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.edit("a", func(s *fakeServer) { s.down = true })
+	n.edit("b", func(s *fakeServer) { s.down = true })
+	l := startLeader(t, n, state, 2, nil)
+	start := time.Now()
+	waitFor(t, "several attempts", func() bool { return time.Since(start) > time.Second })
+	assert.Equal(t, l.logged(), 0)
+	assert.Equal(t, group(state).GetTerm(), uint64(1))
+	assert.Equal(t, n.get("c").fenced, upstream.Term(1))
+	n.edit("b", func(s *fakeServer) { s.down = false })
+	waitFor(t, "promotion once a majority is back", changed(state))
+}
+
+// A returning primary that follows the new term, but still holds entries past
+// the fork, must not be taken for the most advanced.
+func TestFollowedTermIsNoMeasureOfTheLog(t *testing.T) {
+	n, state := newNet("b", "a", "c"), newState("b", "a", "c")
+	n.edit("a", func(s *fakeServer) { s.offset, s.term, s.fenced, s.follows = 100, 2, 2, "" })
+	for _, name := range []string{"b", "c"} {
+		n.edit(name, func(s *fakeServer) {
+			s.offset, s.term, s.fenced, s.follows = 95, 2, 2, ""
+			s.history = upstream.History{{Term: 1}, {Term: 2, Start: 90}}
+		})
+	}
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionStarted{PromotionStarted: &pb.PromotionStarted{Database: "shop", Term: 2}}})
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionChosen{PromotionChosen: &pb.PromotionChosen{Database: "shop", Term: 2, Upstream: "b"}}})
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionFinished{PromotionFinished: &pb.PromotionFinished{Database: "shop", Term: 2}}})
+	n.edit("b", func(s *fakeServer) { s.down = true })
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "new primary", func() bool { return group(state).GetTerm() > 2 && group(state).GetPrimary() != "" })
+	assert.Equal(t, group(state).GetPrimary(), "c")
+}
+
+// If the chosen server dies before it is promoted, another one must be chosen
+// at the next term.
+func TestChosenServerDiesBeforePromotion(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionStarted{PromotionStarted: &pb.PromotionStarted{Database: "shop", Term: 2}}})
+	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionChosen{PromotionChosen: &pb.PromotionChosen{Database: "shop", Term: 2, Upstream: "b"}}})
+	n.edit("b", func(s *fakeServer) { s.down = true })
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "new primary", changed(state))
+	assert.Assert(t, group(state).GetPrimary() != "b")
+	assert.Assert(t, group(state).GetTerm() > 2)
+	checkOnePrimaryPerTerm(t, n)
+}
+
+// An owner that cannot reach a primary which works must not cost the group its
+// primary.
+func TestPrimaryThatAnswersTheLeaderStays(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	j := newJournal(state, 2, nil)
+	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: leaseExpiry})
+	j.reportAll(n, 0)
+	j.reports["a"] = failover.Report{At: time.Now(), Unreachable: 2 * time.Second, Term: 1}
+	s.Tick(t.Context())
+	s.Wait()
+	assert.Equal(t, j.logged, 0)
+}
+
+// A primary that its owner still reaches, but that its replicas do not hear
+// from, cannot have writes acknowledged and must be replaced.
+func TestReplicasWithoutContactReplaceThePrimary(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	j := newJournal(state, 2, nil)
+	now := time.Now()
+	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: leaseExpiry, Now: func() time.Time { return now }})
+	j.reportAll(n, 2*time.Second)
+	s.Tick(t.Context())
+	s.Wait()
+	assert.Equal(t, group(state).GetTerm(), uint64(1), "replicas get a second for their first contact")
+	now = now.Add(1100 * time.Millisecond)
+	j.reportAll(n, 2*time.Second)
+	for name, r := range j.reports {
+		r.At = now
+		j.reports[name] = r
+	}
+	s.Tick(t.Context())
+	s.Wait()
+	assert.Equal(t, group(state).GetTerm(), uint64(2))
+}
+
+// A group's existing primary must be adopted at its own term, without a change.
+func TestExistingPrimaryIsAdopted(t *testing.T) {
+	n, state := newNet("a", "b", "c"), controlstate.New(controlstate.Options{})
+	for _, name := range []string{"b", "c", "a"} {
+		register(state, name, false)
+	}
+	startLeader(t, n, state, 1, nil)
+	waitFor(t, "adoption", func() bool { return group(state).GetPrimary() == "a" })
+	assert.Equal(t, group(state).GetTerm(), uint64(1))
+}
+
+// A group without any primary must get one, from a majority.
+func TestPrimaryIsElectedIfNoneLeads(t *testing.T) {
+	n, state := newNet("a", "b", "c"), controlstate.New(controlstate.Options{})
+	n.write("a", 5, "b")
+	n.edit("a", func(s *fakeServer) { s.role, s.down = upstream.RoleReplica, true })
+	for _, name := range []string{"a", "b", "c"} {
+		register(state, name, false)
+	}
+	startLeader(t, n, state, 1, nil)
+	waitFor(t, "election", func() bool { return group(state).GetPrimary() == "b" })
+	checkOnePrimaryPerTerm(t, n)
+}
--- /dev/null
+++ b/failover/members_test.go
@@ -0,0 +1,97 @@
+package failover_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/controlstate"
+	"lovageslip/failover"
+	"lovageslip/upstream"
+)
+
+func members(state *controlstate.State) []string { return group(state).GetMembers() }
+
+// A primary that leaves must be replaced while it works, without the loss of
+// an acknowledged write, and must then stop counting for a majority.
+func TestLeavingPrimaryIsReplacedInOrder(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10, "b")
+	register(state, "a", true)
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "new primary", changed(state))
+	assert.Assert(t, group(state).GetPrimary() != "a")
+	checkKept(t, n, state, upstream.Position{Term: 1, Offset: 10})
+	waitFor(t, "removal", func() bool { return slices.Equal(members(state), []string{"b", "c"}) })
+	assert.Assert(t, group(state).GetPrimary() != "a")
+}
+
+// A new replica must be ordered to follow, and must count for a majority only
+// once it has caught up.
+func TestNewReplicaJoinsOnceItHasCaughtUp(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10, "b", "c")
+	n.servers["d"] = &fakeServer{name: "d", address: "127.0.0.1:d", loseAnswers: map[string]int{}}
+	register(state, "d", false)
+	assert.Assert(t, !slices.Contains(members(state), "d"))
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "d to join", func() bool { return slices.Contains(members(state), "d") })
+	assert.Equal(t, n.get("d").offset, upstream.Offset(10))
+	assert.Equal(t, group(state).GetTerm(), uint64(1))
+}
+
+// Two changes of members in quick succession could leave two majorities that
+// do not meet. An owner with a lease may count by the members before the last
+// change, so the next one must wait for a lease.
+func TestMembersChangeAtMostOncePerLease(t *testing.T) {
+	n, state := newNet("a", "b", "c", "d", "e"), newState("a", "b", "c", "d", "e")
+	register(state, "d", true)
+	register(state, "e", true)
+	j := newJournal(state, 2, nil)
+	now := time.Now()
+	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	ticks := func(count int) {
+		for range count {
+			now = now.Add(time.Millisecond)
+			j.reportAll(n, 0)
+			s.Tick(t.Context())
+			s.Wait()
+		}
+	}
+	ticks(10)
+	assert.Equal(t, len(members(state)), 5)
+	now = now.Add(time.Minute)
+	ticks(10)
+	assert.Equal(t, len(members(state)), 4)
+	now = now.Add(time.Minute)
+	ticks(10)
+	assert.Equal(t, len(members(state)), 3)
+}
+
+// Members must not change while no majority holds what was acknowledged under
+// the members before.
+func TestMembersStayWhileNoMajorityHasCaughtUp(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10)
+	register(state, "c", true)
+	j := newJournal(state, 2, nil)
+	now := time.Now()
+	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	for range 5 {
+		now = now.Add(time.Minute)
+		j.reportAll(n, 0)
+		s.Tick(t.Context())
+		s.Wait()
+	}
+	assert.Equal(t, len(members(state)), 3)
+	n.catchUp()
+	now = now.Add(time.Minute)
+	for range 5 {
+		now = now.Add(2 * time.Second)
+		s.Tick(t.Context())
+		s.Wait()
+	}
+	assert.Equal(t, len(members(state)), 2)
+}
