--- a/cmd/lovageslip/main.go
+++ b/cmd/lovageslip/main.go
@@ -40,6 +40,7 @@
 4 no control host answered, 5 not a valid change or settings file.`
 
 type commands struct {
+	Dev     devCommand     `cmd:"" help:"Run a control host, a proxy and three stand-in upstreams on loopback."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file whole and report every mistake."`
 	Class   classCommand   `cmd:"" help:"State the targets of classes of work."`
 	Status  statusCommand  `cmd:"" help:"Show hosts, upstreams, owners and groups."`
@@ -50,6 +51,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	parser := kong.Must(&commands{},
 		kong.Name("lovageslip"),
 		kong.Description(description),
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -26,10 +26,6 @@
 	if err != nil {
 		return err
 	}
-	upstreamTLS, err := tlsconf.Client(s.TLSUpstreams)
-	if err != nil {
-		return err
-	}
 	scope, metricsHandler, closer := metrics.NewScope()
 	defer closer.Close()
 	listener, err = listen(listener, s.Hosts, hostTLS.server)
@@ -60,7 +56,7 @@
 		Name:       s.Name,
 		Consensus:  node,
 		State:      state,
-		Dialer:     pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope, TLS: upstreamTLS}),
+		Dialer:     pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope}),
 		HTTPClient: client,
 	})
 	mux := http.NewServeMux()
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -75,10 +75,6 @@
 }
 
 func newProxy(s *settings.Proxy, hosts hostTLS, log *slog.Logger, scope tally.Scope) (*proxy, error) {
-	upstreamTLS, err := tlsconf.Client(s.TLSUpstreams)
-	if err != nil {
-		return nil, err
-	}
 	callerTLS, err := tlsconf.Server(s.TLSCallers)
 	if err != nil {
 		return nil, err
@@ -95,7 +91,7 @@
 	})
 	p.owner = owner.New(owner.Options{
 		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
-		Dialer: pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope, TLS: upstreamTLS}),
+		Dialer: pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope}),
 	})
 	p.exchanges = exchange.NewDrainableServer(p.owner)
 	p.client = exchange.NewClient(exchange.ClientOptions{HTTP: httpClient, Log: log, Metrics: scope})
