Send AuthenticationOk before the parameters of the start-up packet

psql sends client_encoding in its start-up packet. Applying it reported a ParameterStatus before AuthenticationOk, which libpq refuses (expected authentication request, received S); pgx tolerates it, so its tests passed.

--- a/caller/pgcaller/startup.go
+++ b/caller/pgcaller/startup.go
@@ -169,6 +169,9 @@
 	if err := c.server.options.Authenticator.Authenticate(ctx, startup, (*authConn)(c)); err != nil {
 		return err
 	}
+	// Applying the parameters reports some of them, which a caller accepts
+	// only after AuthenticationOk.
+	c.send(&pgproto3.AuthenticationOk{})
 	session, err := c.server.entry.Open(startup.Database, callerName(startup))
 	if err != nil {
 		return err
@@ -177,7 +180,6 @@
 	if err := c.applyStartup(parameters); err != nil {
 		return err
 	}
-	c.send(&pgproto3.AuthenticationOk{})
 	c.reportParameters(startup)
 	c.server.keys.add(c)
 	c.send(&pgproto3.BackendKeyData{ProcessID: c.key.process, SecretKey: c.key.secretBytes()})
