--- a/daemon/control.go
+++ b/daemon/control.go
@@ -38,7 +38,7 @@
 	state := controlstate.New(controlstate.Options{Log: log, Metrics: scope})
 	node, err := consensus.Start(ctx, consensus.Options{
 		Name:           s.Name,
-		Address:        s.Hosts,
+		Address:        memberAddress(s),
 		DataDir:        s.Data,
 		InitialMembers: initialMembers(s.Members),
 		StateMachine:   state,
@@ -76,6 +76,16 @@
 	return tasks.Wait()
 }
 
+// memberAddress is the address under which the other members know this host.
+func memberAddress(s *settings.Control) string {
+	for _, m := range s.Members {
+		if m.Name == s.Name {
+			return m.Address
+		}
+	}
+	return s.Hosts
+}
+
 func initialMembers(members []settings.Member) []consensus.Member {
 	initial := make([]consensus.Member, 0, len(members))
 	for _, m := range members {
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -72,8 +72,8 @@
 		Members: []settings.Member{{Name: "control", Address: o.Control}},
 	}
 	proxy := &settings.Proxy{
-		Name: "proxy", DataCentre: devDataCentre, Callers: o.Callers, Hosts: o.Hosts, Metrics: o.Metrics,
-		Control: []string{o.Control}, TokenKeys: devKeys(), ShutdownDeadline: devShutdown,
+		Name: "proxy", DataCentre: devDataCentre, Callers: o.Callers, Hosts: o.Hosts, Advertise: o.Hosts,
+		Metrics: o.Metrics, Control: []string{o.Control}, TokenKeys: devKeys(), ShutdownDeadline: devShutdown,
 	}
 	// The control host outlives ctx until the proxy has shut down.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -86,7 +86,7 @@
 	httpClient := tlsconf.HTTPClient(hosts.client)
 	p := &proxy{settings: s, log: logging.For(log, "daemon"), scope: scope}
 	p.agent = member.New(member.Options{
-		Log: log, Metrics: scope, Control: s.Control, Name: s.Name, Address: s.Hosts,
+		Log: log, Metrics: scope, Control: s.Control, Name: s.Name, Address: s.Advertise,
 		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: httpClient,
 	})
 	p.owner = owner.New(owner.Options{
@@ -96,7 +96,7 @@
 	p.exchanges = exchange.NewDrainableServer(p.owner)
 	p.client = exchange.NewClient(exchange.ClientOptions{HTTP: httpClient, Log: log, Metrics: scope})
 	router := route.New(route.Options{DataCentre: s.DataCentre, Log: log, Metrics: scope})
-	gateway := &exchange.Local{Address: s.Hosts, Handler: p.owner, Remote: p.client}
+	gateway := &exchange.Local{Address: s.Advertise, Handler: p.owner, Remote: p.client}
 	p.callers = pgcaller.New(pgcaller.Options{
 		Entry: entry.New(entry.Options{
 			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,7 +57,8 @@
 	Name             string
 	DataCentre       string
 	Callers          string // IP number and port for callers
-	Hosts            string // IP number and port for other hosts
+	Hosts            string // IP number and port to listen on for other hosts
+	Advertise        string // IP number and port under which other hosts reach Hosts
 	Metrics          string // IP number and port for metrics and health
 	Control          []string
 	TokenKeys        []TokenKey
@@ -156,6 +157,7 @@
 	s.DataCentre = required(p, "host", "data_centre", allowedName, parseName)
 	s.Callers = required(p, "listen", "callers", allowedAddress, parseAddress)
 	s.Hosts = required(p, "listen", "hosts", allowedAddress, parseAddress)
+	s.Advertise = optional(p, "listen", "advertise", allowedAddress, s.Hosts, parseAddress)
 	s.Metrics = optional(p, "listen", "metrics", allowedAddress, "", parseAddress)
 	s.Control = required(p, "control", "hosts", allowedHosts, parseAddresses)
 	s.TokenKeys = required(p, "session", "key_file", allowedKeyFile, parseKeys)
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -106,7 +107,7 @@
 	return &lovageslipv1.AnnounceRequest{
 		Name:           a.server.options.Name,
 		Database:       a.server.options.Database,
-		Address:        a.server.address,
+		Address:        cmp.Or(a.server.options.Advertise, a.server.address),
 		DataCentre:     a.server.options.DataCentre,
 		Role:           status.Role.String(),
 		Term:           uint64(status.Term),
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -38,6 +38,9 @@
 	DataCentre string
 	// Address to listen on; 127.0.0.1:0 if empty.
 	Address string
+	// Advertise is the address that is announced; the listening address if
+	// empty.
+	Advertise string
 	// Dir holds the database files; a temporary directory if empty.
 	Dir string
 	// Primary is the address of the primary to follow; empty for a primary.
