--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -14,8 +14,6 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"lovageslip/wal"
 )
 
 const patience = 60 * time.Second
@@ -302,5 +300,3 @@
 	}
 	poll.WaitOn(t, check, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
 }
-
-var _ wal.FS = wal.OS{}
