--- a/upstream/pgupstream/answer.go
+++ b/upstream/pgupstream/answer.go
@@ -9,7 +9,8 @@
 	chunkBytes = 16 << 10
 	// maxHeldBytes bounds the answer of a committing write from its first
 	// acknowledgement on, which is held back as a whole.
-	maxHeldBytes = 8 << 20
+	maxHeldBytes    = 8 << 20
+	maxSeveralBytes = 1 << 20
 )
 
 // holding says what of an answer is kept back until the batch is over.
@@ -19,6 +20,9 @@
 	// holdHead keeps the head of the answer until its first row, or until it
 	// fills a chunk, so that a refusal can still be rerouted.
 	holdHead holding = iota
+	// holdSeveral keeps the answers of several statements together up to
+	// maxSeveralBytes, because a later one may be refused and rerouted.
+	holdSeveral
 	// holdFromAck keeps everything from the first acknowledgement on.
 	holdFromAck
 	// holdAll keeps everything up to storeBytes.
@@ -80,7 +84,7 @@
 // flushBeforeWait passes on rows instead of keeping them while the server
 // works on the next ones.
 func (a *answer) flushBeforeWait() error {
-	if !a.sawRow || len(a.held) == 0 || a.conn.in.buffered() > 0 {
+	if !a.sawRow || a.failure != nil || len(a.held) == 0 || a.conn.in.buffered() > 0 {
 		return nil
 	}
 	return a.release()
@@ -264,8 +268,11 @@
 
 // release passes on what the batch's holding allows.
 func (a *answer) release() error {
+	if a.hold == holdSeveral && !a.passed && len(a.held) <= maxSeveralBytes {
+		return nil
+	}
 	end := len(a.held)
-	if a.hold != holdHead && a.ackAt >= 0 {
+	if a.hold >= holdFromAck && a.ackAt >= 0 {
 		end = a.ackAt
 	}
 	if a.hold == holdAll && !a.overflowed {
--- a/upstream/pgupstream/payload.go
+++ b/upstream/pgupstream/payload.go
@@ -10,13 +10,12 @@
 	"lovageslip/upstream"
 )
 
-// origin says whose message an answer belongs to.
+// origin says whose message an answer belongs to; 0 for the caller's.
 type origin byte
 
 const (
-	fromCaller origin = iota
 	// injected messages are answered by the server, but not to the caller.
-	injected
+	injected origin = iota + 1
 	// synthesized answers are given to the caller without the server.
 	synthesized
 )
--- a/upstream/pgupstream/run.go
+++ b/upstream/pgupstream/run.go
@@ -109,6 +109,9 @@
 		return upstream.Result{}, err
 	}
 	a := &answer{conn: c, sink: sink, hold: holdHead, queue: r.queue, discard: checkErr != nil}
+	if r.statements > 1 {
+		a.hold = holdSeveral
+	}
 	c.enterBatch()
 	err = a.read()
 	c.leaveBatch()
