--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		l.leases.release(u)
-		l.server.wakeLeader()
+		l.server.Wake()
 	}
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -110,8 +110,8 @@
 	return controlstate.DecodeResult(result), nil
 }
 
-// wakeLeader makes the leader loop run now.
-func (s *Server) wakeLeader() {
+// Wake makes the leader loop run now, for example after leadership has changed.
+func (s *Server) Wake() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -130,6 +130,15 @@
 	return response.Msg
 }
 
+// awaitLease sends heartbeats until one renews the lease on u1.
+func (n *node) awaitLease(t testing.TB, r *pb.HeartbeatRequest) {
+	t.Helper()
+	waitFor(t, "lease of "+r.GetHost(), func() bool {
+		response, err := n.client.Heartbeat(t.Context(), connect.NewRequest(r))
+		return err == nil && renews(response.Msg, "u1")
+	})
+}
+
 func renews(r *pb.HeartbeatResponse, name string) bool {
 	for _, o := range r.GetRenewed() {
 		if o.GetUpstream() == name {
@@ -197,14 +206,11 @@
 	n := c.nodes[0]
 	awaitLeader(t, n)
 	n.announce(t, announcement("u1", "luzon"))
-	waitFor(t, "first owner", func() bool { return renews(n.beat(t, beat("p1", "luzon")), "u1") })
+	n.awaitLease(t, beat("p1", "luzon"))
 	lastSent := time.Now()
 	assert.Assert(t, renews(n.beat(t, beat("p1", "luzon")), "u1"))
-	waitFor(t, "second owner", func() bool {
-		second := renews(n.beat(t, beat("p2", "visayas")), "u1")
-		assert.Assert(t, !second || time.Since(lastSent) >= quick.Lease, "lease given after %s", time.Since(lastSent))
-		return second
-	})
+	n.awaitLease(t, beat("p2", "visayas"))
+	assert.Assert(t, time.Since(lastSent) >= quick.Lease, "lease given after %s", time.Since(lastSent))
 	assert.Assert(t, !renews(n.beat(t, beat("p1", "luzon")), "u1"))
 }
 
@@ -217,13 +223,13 @@
 	n := c.nodes[0]
 	awaitLeader(t, n)
 	n.announce(t, announcement("u1", "luzon"))
-	waitFor(t, "owner", func() bool { return renews(n.beat(t, beat("p1", "luzon")), "u1") })
+	n.awaitLease(t, beat("p1", "luzon"))
 	n.beat(t, beat("p2", "visayas"))
 	leaving := beat("p1", "luzon")
 	leaving.Leaving = true
 	leaving.Released = []*pb.OwnedEpoch{{Upstream: "u1", Epoch: n.state.View().Upstreams["u1"].OwnerEpoch}}
 	assert.Assert(t, !renews(n.beat(t, leaving), "u1"))
-	waitFor(t, "hand-over", func() bool { return renews(n.beat(t, beat("p2", "visayas")), "u1") })
+	n.awaitLease(t, beat("p2", "visayas"))
 }
 
 // A process that restarts under the same name must not use the lease of its
@@ -233,16 +239,13 @@
 	n := c.nodes[0]
 	awaitLeader(t, n)
 	n.announce(t, announcement("u1", "luzon"))
-	waitFor(t, "owner", func() bool { return renews(n.beat(t, beat("p1", "luzon")), "u1") })
+	n.awaitLease(t, beat("p1", "luzon"))
 	lastSent := time.Now()
 	n.beat(t, beat("p1", "luzon"))
 	restarted := beat("p1", "luzon")
 	restarted.Incarnation = 2
-	waitFor(t, "lease of the restarted host", func() bool {
-		renewed := renews(n.beat(t, restarted), "u1")
-		assert.Assert(t, !renewed || time.Since(lastSent) >= quick.Lease)
-		return renewed
-	})
+	n.awaitLease(t, restarted)
+	assert.Assert(t, time.Since(lastSent) >= quick.Lease, "lease given after %s", time.Since(lastSent))
 }
 
 // A new leader does not know what its predecessor renewed, so it must wait a
@@ -251,16 +254,13 @@
 	c := startCluster(t, 2, quick, nil)
 	awaitLeader(t, c.nodes[0])
 	c.nodes[0].announce(t, announcement("u1", "luzon"))
-	waitFor(t, "owner", func() bool { return renews(c.nodes[0].beat(t, beat("p1", "luzon")), "u1") })
+	c.nodes[0].awaitLease(t, beat("p1", "luzon"))
 	c.nodes[0].beat(t, beat("p1", "luzon"))
 	lastSent := time.Now()
 	c.elect(c.nodes[1].log)
 	awaitLeader(t, c.nodes[1])
-	waitFor(t, "second owner", func() bool {
-		second := renews(c.nodes[1].beat(t, beat("p2", "luzon")), "u1")
-		assert.Assert(t, !second || time.Since(lastSent) >= quick.Lease)
-		return second
-	})
+	c.nodes[1].awaitLease(t, beat("p2", "luzon"))
+	assert.Assert(t, time.Since(lastSent) >= quick.Lease, "lease given after %s", time.Since(lastSent))
 }
 
 // A replaced leader must not renew leases: its successor does not count them.
@@ -272,6 +272,22 @@
 	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
 }
 
+// A leader that is replaced between reading the time and answering must not
+// answer: its successor's wait may have begun before that time.
+func TestLeaderReplacedWhileItAnswersRenewsNothing(t *testing.T) {
+	once := quick
+	once.Tick = time.Hour
+	c := startCluster(t, 1, once, nil)
+	n := c.nodes[0]
+	n.server.Wake()
+	awaitLeader(t, n)
+	n.beat(t, beat("p1", "luzon"))
+	c.loseLeadershipAfter(n.log, 1)
+	_, err := n.client.Heartbeat(t.Context(), connect.NewRequest(beat("p1", "luzon")))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
+	assert.Equal(t, c.checksLeft(n.log), 0, "the leader did not check again")
+}
+
 // Operators race and resend: of two changes with one expected version exactly
 // one may win, on any control host, and a resent one gets its first answer.
 func TestRacingAndResentClassChanges(t *testing.T) {
--- a/failover/calls.go
+++ b/failover/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	pb "lovageslip/gen/lovageslip/v1"
@@ -21,9 +22,9 @@
 }
 
 // ask calls upstreams in parallel and returns the replies that arrived until
-// all have answered, or until enough is satisfied and straggleTime has passed.
+// all have answered, or until stop says that the rest need not be waited for.
 // Calls that are still running end within callTimeout of their start.
-func (s *Supervisor) ask(ctx context.Context, targets []*pb.Upstream, do call, enough func(ok int) bool) ([]reply, error) {
+func (s *Supervisor) ask(ctx context.Context, targets []*pb.Upstream, do call, until stop) ([]reply, error) {
 	if !s.journal.Leading() {
 		return nil, &NotLeading{}
 	}
@@ -44,21 +45,23 @@
 		case <-late:
 			return replies, nil
 		}
-		if late == nil && enough(ok) {
-			late = time.After(straggleTime)
+		if late == nil && ok >= until.enough {
+			late = time.After(until.straggle)
 		}
 	}
 	return replies, nil
 }
 
-// never makes ask wait for every upstream.
-func never(int) bool { return false }
-
-// atLeast makes ask wait for n good replies.
-func atLeast(n int) func(int) bool {
-	return func(ok int) bool { return ok >= n }
+// stop says when ask need not wait for the remaining upstreams: enough have
+// done what they were asked, and straggle has passed since.
+type stop struct {
+	enough   int
+	straggle time.Duration
 }
 
+// never makes ask wait for every upstream.
+var never = stop{enough: math.MaxInt}
+
 func (s *Supervisor) askOne(ctx context.Context, u *pb.Upstream, do call) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/failover/change.go
+++ b/failover/change.go
@@ -76,7 +76,7 @@
 func (s *Supervisor) choose(ctx context.Context, frame *controlstate.Frame, g *pb.Group) error {
 	term := upstream.Term(g.GetTerm())
 	needed := majority(g)
-	replies, err := s.ask(ctx, membersOf(frame, g), askFence(term), atLeast(needed))
+	replies, err := s.ask(ctx, membersOf(frame, g), askFence(term), stop{enough: needed, straggle: straggleTime})
 	if err != nil {
 		return err
 	}
@@ -220,7 +220,7 @@
 // is repaired later.
 func (s *Supervisor) orderFollow(ctx context.Context, g *pb.Group, primary *pb.Upstream, others []*pb.Upstream) ([]reply, error) {
 	order := askFollow(upstream.Term(g.GetTerm()), primary.GetAddress())
-	return s.ask(ctx, others, order, atLeast(majority(g)-1))
+	return s.ask(ctx, others, order, stop{enough: majority(g) - 1})
 }
 
 func asRefused(err error) (*CallRefused, bool) {
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -70,6 +70,18 @@
 	return state
 }
 
+func startedAt(term uint64) *pb.Command {
+	return &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionStarted{
+		PromotionStarted: &pb.PromotionStarted{Database: "shop", Term: term},
+	}}
+}
+
+func chosenAt(term uint64, name string) *pb.Command {
+	return &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionChosen{
+		PromotionChosen: &pb.PromotionChosen{Database: "shop", Term: term, Upstream: name},
+	}}
+}
+
 func group(state *controlstate.State) *pb.Group { return state.Frame().Groups["shop"] }
 
 func waitFor(t *testing.T, what string, check func() bool) {
@@ -202,6 +214,24 @@
 	waitFor(t, "promotion once a majority is back", changed(state))
 }
 
+// A change that has started must choose nobody until a majority is fenced,
+// because the others may hold what was acknowledged.
+func TestStartedChangeWaitsForAMajority(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10, "b")
+	apply(state, startedAt(2))
+	n.edit("a", func(s *fakeServer) { s.down = true })
+	n.edit("b", func(s *fakeServer) { s.down = true })
+	startLeader(t, n, state, 2, nil)
+	waitFor(t, "fence of c", func() bool { return n.get("c").fenced == 2 })
+	start := time.Now()
+	waitFor(t, "several attempts", func() bool { return time.Since(start) > 500*time.Millisecond })
+	assert.Equal(t, group(state).GetChosen(), "")
+	n.edit("b", func(s *fakeServer) { s.down = false })
+	waitFor(t, "new primary", changed(state))
+	checkKept(t, n, state, upstream.Position{Term: 1, Offset: 10})
+}
+
 // A returning primary that follows the new term, but still holds entries past
 // the fork, must not be taken for the most advanced.
 func TestFollowedTermIsNoMeasureOfTheLog(t *testing.T) {
@@ -213,8 +243,8 @@
 			s.history = upstream.History{{Term: 1}, {Term: 2, Start: 90}}
 		})
 	}
-	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionStarted{PromotionStarted: &pb.PromotionStarted{Database: "shop", Term: 2}}})
-	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionChosen{PromotionChosen: &pb.PromotionChosen{Database: "shop", Term: 2, Upstream: "b"}}})
+	apply(state, startedAt(2))
+	apply(state, chosenAt(2, "b"))
 	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionFinished{PromotionFinished: &pb.PromotionFinished{Database: "shop", Term: 2}}})
 	n.edit("b", func(s *fakeServer) { s.down = true })
 	startLeader(t, n, state, 2, nil)
@@ -226,8 +256,8 @@
 // at the next term.
 func TestChosenServerDiesBeforePromotion(t *testing.T) {
 	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
-	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionStarted{PromotionStarted: &pb.PromotionStarted{Database: "shop", Term: 2}}})
-	apply(state, &pb.Command{LeaderTerm: 1, Command: &pb.Command_PromotionChosen{PromotionChosen: &pb.PromotionChosen{Database: "shop", Term: 2, Upstream: "b"}}})
+	apply(state, startedAt(2))
+	apply(state, chosenAt(2, "b"))
 	n.edit("b", func(s *fakeServer) { s.down = true })
 	startLeader(t, n, state, 2, nil)
 	waitFor(t, "new primary", changed(state))
--- a/failover/fake_test.go
+++ b/failover/fake_test.go
@@ -33,8 +33,7 @@
 	mu      sync.Mutex
 	servers map[string]*fakeServer
 	// led records which server was primary of each term.
-	led     map[upstream.Term]map[string]bool
-	control *crash
+	led map[upstream.Term]map[string]bool
 }
 
 // crash makes the control leader fail at its n-th interaction, before or
--- a/failover/members_test.go
+++ b/failover/members_test.go
@@ -28,6 +28,22 @@
 	assert.Assert(t, group(state).GetPrimary() != "a")
 }
 
+// A leaving primary must stay while a majority lacks what it has.
+func TestLeavingPrimaryStaysUntilAMajorityHasCaughtUp(t *testing.T) {
+	n, state := newNet("a", "b", "c", "d", "e"), newState("a", "b", "c", "d", "e")
+	n.write("a", 10, "b")
+	register(state, "a", true)
+	j := newJournal(state, 2, nil)
+	now := time.Now()
+	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	for range 5 {
+		now = now.Add(time.Minute)
+		s.Tick(t.Context())
+		s.Wait()
+	}
+	assert.Equal(t, group(state).GetTerm(), uint64(1))
+}
+
 // A new replica must be ordered to follow, and must count for a majority only
 // once it has caught up.
 func TestNewReplicaJoinsOnceItHasCaughtUp(t *testing.T) {
--- a/member/agent_test.go
+++ b/member/agent_test.go
@@ -211,11 +211,17 @@
 // A stream that stops delivering, on a connection that stays open, must not
 // keep the proxy from changes.
 func TestSilentStreamIsLeft(t *testing.T) {
-	silent, good := startFake(t, whole(5)), startFake(t, whole(5))
-	silent.alive = false
-	silent.answer, good.answer = renewal(5), renewal(5)
-	agent := startAgent(t, silent, good)
+	hosts := []*fakeControl{startFake(t, whole(5)), startFake(t, whole(5))}
+	for _, h := range hosts {
+		h.answer = renewal(5)
+	}
+	agent := startAgent(t, hosts...)
 	waitFor(t, "view", func() bool { return agent.View() != nil })
+	silent, good := hosts[0], hosts[1]
+	if _, watches := silent.count(); watches == 0 {
+		silent, good = good, silent
+	}
+	silent.edit(func(f *fakeControl) { f.alive = false })
 	good.edit(func(f *fakeControl) { f.messages = append(f.messages, &pb.WatchResponse{Version: 6, ConfigVersion: 6}) })
 	waitFor(t, "change", func() bool { return agent.View().Version == 6 })
 }
