--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -142,10 +142,7 @@
 }
 
 func (c *cluster) newHost(name string) *host {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(c.t, err)
-	address := listener.Addr().String()
-	assert.NilError(c.t, listener.Close())
+	address := freeAddress(c.t)
 	h := &host{t: c.t, link: newLink(), address: address}
 	h.options = Options{
 		Name:       name,
@@ -158,6 +155,13 @@
 	return h
 }
 
+func freeAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 func (c *cluster) stop() {
 	for _, h := range c.hosts {
 		h.stop()
@@ -183,10 +187,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: mux, Protocols: protocols}
-	listener, err := net.Listen("tcp", h.address)
-	if err != nil {
-		return err
-	}
+	// An outgoing connection may hold the port for a moment.
+	var listener net.Listener
+	waitFor(h.t, "the port", func() bool {
+		listener, err = net.Listen("tcp", h.address)
+		return err == nil
+	})
 	h.node, h.server = node, server
 	go server.Serve(listener)
 	return nil
--- a/consensus/disk.go
+++ b/consensus/disk.go
@@ -73,6 +73,8 @@
 		return n.Err()
 	case <-ctx.Done():
 		return cancelled(ctx)
+	case <-n.ctx.Done():
+		return stopping()
 	}
 }
 
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -19,7 +19,9 @@
 type faultyFS struct {
 	wal.OS
 	full atomic.Bool
-	gate sync.RWMutex // held for writing while syncs must wait
+	// noEntries fails writes that start with an entry.
+	noEntries atomic.Bool
+	gate      sync.RWMutex // held for writing while syncs must wait
 }
 
 type faultyFile struct {
@@ -33,7 +35,9 @@
 }
 
 func (f *faultyFile) WriteAt(data []byte, offset int64) (int, error) {
-	if f.fs.full.Load() {
+	const kindOffset = 12
+	entry := len(data) > kindOffset && data[kindOffset] == kindEntry
+	if f.fs.full.Load() || entry && f.fs.noEntries.Load() {
 		n, _ := f.File.WriteAt(data[:len(data)/2], offset)
 		return n, syscall.ENOSPC
 	}
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -78,6 +78,10 @@
 	return &fault.OutcomeUnknown{Reason: fault.ReasonOutcomeUnknown, Detail: detail, Err: err}
 }
 
+func stopping() error {
+	return &fault.NotRun{Reason: fault.ReasonShutdown, Detail: "this host is stopping"}
+}
+
 func isNoLeader(err error) bool {
 	var e *fault.NotRun
 	return errors.As(err, &e) && e.Reason == ReasonNoLeader
@@ -91,6 +95,9 @@
 	codeRefused = connect.CodeInvalidArgument
 )
 
+// reasonHeader carries the reason of a *fault.NotRun.
+const reasonHeader = "Lovageslip-Reason"
+
 // toWire maps an error of this package to a connect error.
 func toWire(err error) error {
 	if err == nil {
@@ -105,8 +112,29 @@
 	case errors.As(err, &refused), errors.As(err, &invalid):
 		return connect.NewError(codeRefused, err)
 	default:
-		return connect.NewError(codeNotRun, err)
+		return notRunToWire(err)
+	}
+}
+
+func notRunToWire(err error) error {
+	wire := connect.NewError(codeNotRun, err)
+	var notRun *fault.NotRun
+	if errors.As(err, &notRun) {
+		wire.Meta().Set(reasonHeader, string(notRun.Reason))
 	}
+	return wire
+}
+
+func notRunFromWire(err error) error {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return noLeader(err.Error())
+	}
+	reason := fault.Reason(wire.Meta().Get(reasonHeader))
+	if reason == "" || reason == ReasonNoLeader {
+		return noLeader(wire.Message())
+	}
+	return &fault.NotRun{Reason: reason, Detail: wire.Message(), RetryAfter: retryDelay}
 }
 
 // fromWire maps the error of a call to a leader. A connection that was never
@@ -120,7 +148,7 @@
 	var op *net.OpError
 	switch {
 	case fromServer && code == codeNotRun:
-		return noLeader(err.Error())
+		return notRunFromWire(err)
 	case fromServer && code == codeRefused:
 		return &ChangeRefused{Member: member, Detail: err.Error()}
 	case errors.As(err, &op) && op.Op == "dial":
--- a/consensus/failover_test.go
+++ b/consensus/failover_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-func proposeMany(t *testing.T, h *host, total int) {
+func proposeMany(t testing.TB, h *host, total int) {
 	const workers = 50
 	var group sync.WaitGroup
 	for range workers {
--- /dev/null
+++ b/consensus/freeze_test.go
@@ -0,0 +1,212 @@
+package consensus
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// childVariable holds the settings of a member that runs in its own process.
+const childVariable = "CONSENSUS_TEST_CHILD"
+
+func TestMain(m *testing.M) {
+	if settings := os.Getenv(childVariable); settings != "" {
+		runChild(settings)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+type childSettings struct {
+	Name, Address, DataDir string
+	Members                []Member
+}
+
+// runChild serves a member and a small interface for the test until its
+// standard input closes, so that it never outlives the test.
+func runChild(encoded string) {
+	var s childSettings
+	if err := json.Unmarshal([]byte(encoded), &s); err != nil {
+		panic(err)
+	}
+	state := &register{}
+	node, err := Start(context.Background(), Options{
+		Name: s.Name, Address: s.Address, DataDir: s.DataDir, InitialMembers: s.Members, StateMachine: state,
+	})
+	if err != nil {
+		panic(err)
+	}
+	mux := http.NewServeMux()
+	for _, route := range node.Handlers() {
+		mux.Handle(route.Path, route.Handler)
+	}
+	mux.HandleFunc("/leading", func(w http.ResponseWriter, _ *http.Request) {
+		_, ok := node.Leadership()
+		fmt.Fprint(w, ok)
+	})
+	mux.HandleFunc("/read", func(w http.ResponseWriter, r *http.Request) {
+		if _, err := node.ReadIndex(r.Context()); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		value, _ := state.read()
+		fmt.Fprint(w, value)
+	})
+	mux.HandleFunc("/write", func(w http.ResponseWriter, r *http.Request) {
+		value, _ := strconv.ParseUint(r.FormValue("value"), 10, 64)
+		if _, err := node.Propose(r.Context(), number(value)); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Addr: s.Address, Handler: mux, Protocols: protocols}
+	go server.ListenAndServe()
+	io.Copy(io.Discard, os.Stdin)
+}
+
+type child struct {
+	address string
+	command *exec.Cmd
+}
+
+func startChildren(t *testing.T) []*child {
+	c := &cluster{t: t, dir: t.TempDir()}
+	var members []Member
+	for _, name := range []string{"a", "b", "c"} {
+		h := c.newHost(name)
+		members = append(members, Member{Name: name, Address: h.address})
+	}
+	var children []*child
+	for _, h := range c.hosts {
+		s := childSettings{Name: h.options.Name, Address: h.address, DataDir: h.options.DataDir, Members: members}
+		children = append(children, startChild(t, s))
+	}
+	return children
+}
+
+func startChild(t *testing.T, s childSettings) *child {
+	encoded, err := json.Marshal(s)
+	assert.NilError(t, err)
+	command := exec.Command(os.Args[0], "-test.run=^$")
+	command.Env = append(os.Environ(), childVariable+"="+string(encoded))
+	command.Stderr = os.Stderr
+	_, err = command.StdinPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() {
+		assert.Check(t, command.Process.Kill())
+		command.Wait()
+	})
+	return &child{address: s.Address, command: command}
+}
+
+func (c *child) get(ctx context.Context, path string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+func (c *child) ok(path string) (string, bool) {
+	ctx, cancel := shortly()
+	defer cancel()
+	status, body, err := c.get(ctx, path)
+	return body, err == nil && status == http.StatusOK
+}
+
+func leadingChild(t *testing.T, children []*child) int {
+	t.Helper()
+	found := -1
+	waitFor(t, "a leading process", func() bool {
+		for i, c := range children {
+			if body, ok := c.ok("/leading"); ok && body == "true" {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// Guards against a leader that was frozen while it led and answers, when it
+// continues, the requests that wait in its sockets from its old state.
+func TestFrozenLeaderAnswersNothingOld(t *testing.T) {
+	children := startChildren(t)
+	old := leadingChild(t, children)
+	frozen := children[old]
+	write(t, frozen, "1")
+	assert.NilError(t, frozen.command.Process.Signal(syscall.SIGSTOP))
+	rest := append(append([]*child(nil), children[:old]...), children[old+1:]...)
+	fresh := rest[leadingChild(t, rest)]
+	write(t, fresh, "2")
+
+	answers := readsWhileFrozen(t, frozen)
+	assert.NilError(t, frozen.command.Process.Signal(syscall.SIGCONT))
+	for answer := range answers {
+		assert.Check(t, answer == "2" || answer == "", "old value %q", answer)
+	}
+	waitFor(t, "the new value", func() bool {
+		body, ok := frozen.ok("/read")
+		assert.Check(t, !ok || body == "2", "old value %q", body)
+		return ok
+	})
+}
+
+func write(t *testing.T, c *child, value string) {
+	t.Helper()
+	waitFor(t, "a write", func() bool {
+		_, ok := c.ok("/write?value=" + value)
+		return ok
+	})
+}
+
+// readsWhileFrozen returns once several reads wait in the sockets of c. The
+// channel delivers their answers, empty for a refusal.
+func readsWhileFrozen(t *testing.T, c *child) <-chan string {
+	const reads = 8
+	sent := make(chan struct{}, reads)
+	answers := make(chan string, reads)
+	results := make(chan string, reads)
+	for range reads {
+		go func() {
+			trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sent <- struct{}{} }}
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			status, body, err := c.get(httptrace.WithClientTrace(ctx, trace), "/read")
+			if err != nil || status != http.StatusOK {
+				body = ""
+			}
+			results <- body
+		}()
+	}
+	for range reads {
+		<-sent
+	}
+	go func() {
+		defer close(answers)
+		for range reads {
+			answers <- <-results
+		}
+	}()
+	return answers
+}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -285,17 +285,25 @@
 func (n *Node) Leader() (name, address string, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	m := findMember(n.members, n.leader)
+	m := n.leaderLocked()
 	if m == nil {
 		return "", "", false
 	}
 	return m.Name, m.Address, true
 }
 
+// leaderLocked returns the leader, or nil if none was heard lately.
+func (n *Node) leaderLocked() *pb.Member {
+	if n.role != roleLeader && time.Since(n.heardAt) > electionTimeoutMax {
+		return nil
+	}
+	return findMember(n.members, n.leader)
+}
+
 func (n *Node) leaderClient() (lovageslipv1connect.ConsensusServiceClient, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	m := findMember(n.members, n.leader)
+	m := n.leaderLocked()
 	if m == nil || m.Name == n.options.Name {
 		return nil, false
 	}
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -97,6 +97,9 @@
 // incarnation of its data folder. It returns once the entry is committed; the
 // member becomes a voter when it has caught up.
 func (n *Node) addLocal(ctx context.Context, name, address string) error {
+	if err := checkMember(name, address); err != nil {
+		return err
+	}
 	incarnation, err := n.probe(ctx, name, address)
 	if err != nil {
 		return err
--- a/consensus/memberservice.go
+++ b/consensus/memberservice.go
@@ -13,8 +13,8 @@
 // that it isn't passed on again.
 const forwardedHeader = "Lovageslip-Forwarded"
 
-// AddMember adds a host as a non-voter through the leader. The host must be
-// running with an empty data folder. It becomes a voter when it has caught up.
+// AddMember adds a running host as a non-voter through the leader. It becomes a
+// voter when it has caught up. A wiped host must be removed first.
 // Errors are *ChangeRefused, *fault.NotRun and *fault.OutcomeUnknown; after the
 // last, the request can be sent again.
 func (n *Node) AddMember(ctx context.Context, name, address string) error {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
@@ -114,8 +115,8 @@
 // Start recovers the state from the data folder and joins the cluster. The
 // caller then serves Handlers. The node stops when ctx ends or at Close.
 func Start(ctx context.Context, o Options) (*Node, error) {
-	if o.Name == "" {
-		return nil, &fault.Invalid{Field: "name", Value: o.Name, Allowed: "not empty"}
+	if err := checkNames(o); err != nil {
+		return nil, err
 	}
 	folder, err := wal.OpenFolder(wal.Options{Dir: o.DataDir, FS: o.FS, Log: o.Log})
 	if err != nil {
@@ -128,6 +129,29 @@
 	return n, nil
 }
 
+func checkNames(o Options) error {
+	if err := checkMember(o.Name, o.Address); err != nil {
+		return err
+	}
+	for _, m := range o.InitialMembers {
+		if err := checkMember(m.Name, m.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMember(name, address string) error {
+	const allowed = "UTF-8, not empty"
+	if name == "" || !utf8.ValidString(name) {
+		return &fault.Invalid{Field: "name", Value: name, Allowed: allowed}
+	}
+	if address == "" || !utf8.ValidString(address) {
+		return &fault.Invalid{Field: "address", Value: address, Allowed: allowed}
+	}
+	return nil
+}
+
 func start(ctx context.Context, o Options, folder *wal.Folder) (*Node, error) {
 	log, records, err := folder.OpenLog()
 	if err != nil {
--- a/consensus/read.go
+++ b/consensus/read.go
@@ -74,7 +74,7 @@
 		case <-ctx.Done():
 			return cancelled(ctx)
 		case <-n.ctx.Done():
-			return &fault.NotRun{Reason: fault.ReasonShutdown, Detail: "this host is stopping"}
+			return stopping()
 		}
 	}
 }
