--- a/control/server_test.go
+++ b/control/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +41,8 @@
 	server  *control.Server
 	address string
 	client  lovageslipv1connect.ControlServiceClient
+	// traffic counts the bytes in both directions.
+	traffic atomic.Int64
 }
 
 type cluster struct {
@@ -69,7 +72,7 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle(n.server.Handler())
-	serve(t, listener, mux)
+	serve(t, &countingListener{Listener: listener, bytes: &n.traffic}, mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); n.server.Run(ctx) }()
