Keep the leader loop free of proposals; back off after failed calls

Proposals in the loop could delay the loss of leadership by their timeout of 2 s, and with an election that is close to the lease of 3 s. Owners' reports are ignored for 0.7 s after a change, because they may be older than it.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -198,7 +198,7 @@
 				assert.NilError(b, err)
 			}
 			for b.Loop() {
-				n.server.Tick(b.Context())
+				n.server.Act()
 			}
 		})
 	}
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -1,6 +1,4 @@
 package control
 
-import "context"
-
-// Tick runs one round of the leader loop. Run must be idle meanwhile.
-func (s *Server) Tick(ctx context.Context) { s.tick(ctx) }
+// Act runs one round of what the leader does. Run must be idle meanwhile.
+func (s *Server) Act() { s.currentLeadership().act() }
--- a/control/leader.go
+++ b/control/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -23,8 +24,11 @@
 	groups *failover.Supervisor
 	ctx    context.Context
 	cancel context.CancelFunc
+	// acting is true while act runs in tasks.
+	acting atomic.Bool
+	tasks  conc.WaitGroup
 
-	// balancedAt is when an upstream was last moved; only the loop uses it.
+	// balancedAt is when an upstream was last moved; only act uses it.
 	balancedAt time.Time
 
 	// mu guards the maps below.
@@ -77,8 +81,13 @@
 	if leads && l == nil {
 		l = s.begin(ctx, term)
 	}
-	if l != nil {
-		l.act()
+	if l != nil && l.acting.CompareAndSwap(false, true) {
+		// In the background, so that the loop sees the loss of leadership
+		// and cancels proposals that cannot succeed.
+		l.tasks.Go(func() {
+			defer l.acting.Store(false)
+			l.act()
+		})
 	}
 }
 
@@ -90,14 +99,16 @@
 
 // begin logs the start of a term. Once that is applied here, every decision
 // of earlier leaders is applied too, and later ones of theirs are refused.
-func (s *Server) begin(ctx context.Context, term uint64) *leadership {
+func (s *Server) begin(running context.Context, term uint64) *leadership {
+	ctx, cancel := context.WithTimeout(running, beginTimeout)
+	defer cancel()
 	cmd := &pb.Command{LeaderTerm: term, Command: &pb.Command_LeaderStarted{LeaderStarted: &pb.LeaderStarted{}}}
 	result, err := s.propose(ctx, cmd)
 	if err != nil || !result.GetApplied() || s.state.LeaderTerm() != term || !s.leads(term) {
 		s.log.Warn("leader start not logged", "term", term, "err", err)
 		return nil
 	}
-	l := s.newLeadership(ctx, term)
+	l := s.newLeadership(running, term)
 	s.mu.Lock()
 	s.current = l
 	s.mu.Unlock()
@@ -140,6 +151,7 @@
 		return
 	}
 	l.cancel()
+	l.tasks.Wait()
 	if l.groups != nil {
 		l.groups.Wait()
 	}
--- a/control/timing.go
+++ b/control/timing.go
@@ -32,6 +32,9 @@
 	// proposeTimeout is longer than an election, so that a proposal made
 	// during one may still succeed.
 	proposeTimeout = 2 * time.Second
+	// beginTimeout is short, because the loop cannot see the loss of its
+	// leadership meanwhile. Logging the start again is harmless.
+	beginTimeout = 500 * time.Millisecond
 	// forwardTimeout bounds a call that is passed on to the leader.
 	forwardTimeout = 3 * time.Second
 )
--- a/failover/detect.go
+++ b/failover/detect.go
@@ -32,7 +32,7 @@
 	if fresh && !report.Reachable && report.Unreachable+now.Sub(report.At) >= lossTime {
 		return reasonUnreachable
 	}
-	if fresh && report.Reachable && report.At.After(w.stepAt) && (!report.Primary || uint64(report.Term) != g.GetTerm()) {
+	if fresh && report.Reachable && report.At.Sub(w.stepAt) >= reportLag && (!report.Primary || uint64(report.Term) != g.GetTerm()) {
 		return reasonRole
 	}
 	if s.contactLost(g, w, now) {
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -51,6 +51,9 @@
 	blindTime = 3 * time.Second
 	// reportAge is how old a report may be: three heartbeats.
 	reportAge = 1500 * time.Millisecond
+	// reportLag is how long after a change owners may still report what they
+	// saw before it: a poll and a heartbeat.
+	reportLag = 700 * time.Millisecond
 	// adoptTime lets the members of a new group announce themselves before
 	// the group adopts its primary, so that they need not be added later.
 	adoptTime = time.Second
@@ -59,8 +62,9 @@
 	electTime = 5 * time.Second
 	// straggleTime is how long answers beyond a majority are waited for.
 	straggleTime = 50 * time.Millisecond
-	// deadTime is how long a member must be unreachable to be removed.
-	deadTime = 10 * time.Minute
+	// deadTime is how long a member must be unreachable to be removed. It
+	// becomes a member again when it returns.
+	deadTime = time.Minute
 	// goneTime is how long a leaving upstream must be unreachable until its
 	// registration is removed.
 	goneTime = time.Minute
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -19,7 +19,8 @@
 	var astray []*pb.Upstream
 	for _, u := range followers(frame, g, g.GetPrimary()) {
 		report, fresh := s.freshReport(u.GetName(), now)
-		if fresh && report.At.After(w.stepAt) && report.At.After(w.orderedAt) && s.isAstray(g, report, now) {
+		current := fresh && report.At.Sub(w.stepAt) >= reportLag && report.At.Sub(w.orderedAt) >= reportLag
+		if current && s.isAstray(g, report, now) {
 			astray = append(astray, u)
 		}
 	}
--- a/member/agent.go
+++ b/member/agent.go
@@ -33,9 +33,11 @@
 	silenceLimit = 2 * time.Second
 	// behindLimit is how long a stream may be behind the leader's version.
 	behindLimit = time.Second
-	// retryDelay is the mean pause after a failed call. It is randomized, so
-	// that proxies do not return to a control host all at once.
-	retryDelay = 100 * time.Millisecond
+	// retryDelay is the mean pause after the first failed call. It doubles
+	// with each further failure up to maxRetryFactor times, and is
+	// randomized, so that proxies do not return to a control host at once.
+	retryDelay     = 100 * time.Millisecond
+	maxRetryFactor = 4
 )
 
 // HealthSource supplies reports on the upstreams that this host owns.
@@ -67,6 +69,10 @@
 	DataCentre string
 	// Health may be nil.
 	Health HealthSource
+	// Announced is told of each announcement that reaches this host, before
+	// control answers, so that an owner acts on a leaving upstream at once.
+	// It may be nil and must not block.
+	Announced func(*pb.AnnounceRequest)
 	// HTTPClient reaches control hosts; controlclient.NewHTTPClient if nil.
 	HTTPClient connect.HTTPClient
 	Timing     Timing
@@ -180,14 +186,10 @@
 	}
 }
 
-// pause waits for a random time around the retry delay.
-func (a *Agent) pause(ctx context.Context) {
-	half := a.timing.Retry / 2
-	wait(ctx, half+rand.N(a.timing.Retry))
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
+// pause waits for a random time that grows with the failures in a row.
+func (a *Agent) pause(ctx context.Context, failures int) {
+	mean := a.timing.Retry * time.Duration(min(1<<min(failures-1, 16), maxRetryFactor))
+	timer := time.NewTimer(mean/2 + rand.N(mean))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/member/announce.go
+++ b/member/announce.go
@@ -44,6 +44,9 @@
 // proxies serve as control hosts do: JSON over HTTP POST or connect.
 func (a *Agent) AnnounceHandler() (string, http.Handler) {
 	serve := func(ctx context.Context, r *connect.Request[pb.AnnounceRequest]) (*connect.Response[pb.AnnounceResponse], error) {
+		if a.options.Announced != nil {
+			a.options.Announced(r.Msg)
+		}
 		response, err := a.Announce(ctx, r.Msg)
 		if err != nil {
 			return nil, controlclient.ToConnect(err)
--- a/member/lease.go
+++ b/member/lease.go
@@ -16,14 +16,17 @@
 func (a *Agent) heartbeats(ctx context.Context) {
 	ticker := time.NewTicker(a.timing.Heartbeat)
 	defer ticker.Stop()
+	failures := 0
 	for host := a.firstHost(); ctx.Err() == nil; {
 		if err := a.heartbeat(ctx, host, nil); err != nil {
 			a.metrics.Counter("heartbeats_failed_total").Inc(1)
 			a.log.Debug("heartbeat failed", "err", err)
 			host++
-			a.pause(ctx)
+			failures++
+			a.pause(ctx, failures)
 			continue
 		}
+		failures = 0
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -181,8 +184,9 @@
 	if len(a.clients) == 0 {
 		return &controlclient.Unavailable{Detail: "no control host is configured"}
 	}
-	for host := a.firstHost(); ; host++ {
-		err := a.heartbeat(ctx, host, released)
+	first := a.firstHost()
+	for i := 0; ; i++ {
+		err := a.heartbeat(ctx, first+i, released)
 		if err == nil {
 			a.log.Info("upstreams handed over", "count", len(released))
 			return nil
@@ -190,7 +194,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		a.pause(ctx)
+		a.pause(ctx, i+1)
 	}
 }
 
--- a/member/watch.go
+++ b/member/watch.go
@@ -35,14 +35,20 @@
 
 // watches keeps a stream open, and changes the control host after each end.
 func (a *Agent) watches(ctx context.Context) {
+	failures := 0
 	for i := a.firstHost(); ctx.Err() == nil; i++ {
+		opened := time.Now()
 		err := a.watch(ctx, i)
 		if ctx.Err() != nil {
 			return
 		}
 		a.metrics.Counter("watch_changes_total").Inc(1)
 		a.log.Info("changing control host for watch", "err", err)
-		a.pause(ctx)
+		failures++
+		if time.Since(opened) > a.timing.Silence {
+			failures = 1
+		}
+		a.pause(ctx, failures)
 	}
 }
 
