--- a/control/leader.go
+++ b/control/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -23,6 +24,12 @@
 	groups *failover.Supervisor
 	ctx    context.Context
 	cancel context.CancelFunc
+	// acting is true while act runs in tasks.
+	acting atomic.Bool
+	tasks  conc.WaitGroup
+
+	// balancedAt is when an upstream was last moved; only act uses it.
+	balancedAt time.Time
 
 	// mu guards the maps below.
 	mu       sync.Mutex
@@ -33,8 +40,19 @@
 
 // hostSeen is the last heartbeat of a host.
 type hostSeen struct {
-	at      time.Time
-	leaving bool
+	at time.Time
+	// steadySince is when the host came to be alive without a break.
+	steadySince time.Time
+	incarnation uint64
+	leaving     bool
+}
+
+func (h hostSeen) next(now time.Time, r *pb.HeartbeatRequest, alive time.Duration) hostSeen {
+	steady := h.steadySince
+	if h.incarnation != r.GetIncarnation() || now.Sub(h.at) > alive {
+		steady = now
+	}
+	return hostSeen{at: now, steadySince: steady, incarnation: r.GetIncarnation(), leaving: r.GetLeaving()}
 }
 
 // Run acts as the leader whenever this host leads, until ctx ends.
@@ -63,8 +81,13 @@
 	if leads && l == nil {
 		l = s.begin(ctx, term)
 	}
-	if l != nil {
-		l.act()
+	if l != nil && l.acting.CompareAndSwap(false, true) {
+		// In the background, so that the loop sees the loss of leadership
+		// and cancels proposals that cannot succeed.
+		l.tasks.Go(func() {
+			defer l.acting.Store(false)
+			l.act()
+		})
 	}
 }
 
@@ -76,14 +99,16 @@
 
 // begin logs the start of a term. Once that is applied here, every decision
 // of earlier leaders is applied too, and later ones of theirs are refused.
-func (s *Server) begin(ctx context.Context, term uint64) *leadership {
+func (s *Server) begin(running context.Context, term uint64) *leadership {
+	ctx, cancel := context.WithTimeout(running, beginTimeout)
+	defer cancel()
 	cmd := &pb.Command{LeaderTerm: term, Command: &pb.Command_LeaderStarted{LeaderStarted: &pb.LeaderStarted{}}}
 	result, err := s.propose(ctx, cmd)
 	if err != nil || !result.GetApplied() || s.state.LeaderTerm() != term || !s.leads(term) {
 		s.log.Warn("leader start not logged", "term", term, "err", err)
 		return nil
 	}
-	l := s.newLeadership(ctx, term)
+	l := s.newLeadership(running, term)
 	s.mu.Lock()
 	s.current = l
 	s.mu.Unlock()
@@ -126,6 +151,7 @@
 		return
 	}
 	l.cancel()
+	l.tasks.Wait()
 	if l.groups != nil {
 		l.groups.Wait()
 	}
@@ -152,6 +178,7 @@
 	var due conc.WaitGroup
 	due.Go(func() { l.assignOwners() })
 	due.Go(func() { l.removeHosts() })
+	due.Go(func() { l.balance() })
 	if l.groups != nil {
 		l.groups.Tick(l.ctx)
 	}
--- a/member/lease.go
+++ b/member/lease.go
@@ -16,14 +16,17 @@
 func (a *Agent) heartbeats(ctx context.Context) {
 	ticker := time.NewTicker(a.timing.Heartbeat)
 	defer ticker.Stop()
+	failures := 0
 	for host := a.firstHost(); ctx.Err() == nil; {
 		if err := a.heartbeat(ctx, host, nil); err != nil {
 			a.metrics.Counter("heartbeats_failed_total").Inc(1)
 			a.log.Debug("heartbeat failed", "err", err)
 			host++
-			a.pause(ctx)
+			failures++
+			a.pause(ctx, failures)
 			continue
 		}
+		failures = 0
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -60,6 +63,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r.Leaving = a.releasing
+	r.Released = append(r.Released, a.handedOverNow()...)
 	return r
 }
 
@@ -74,6 +78,7 @@
 	if a.releasing {
 		return
 	}
+	a.handOver(r.GetHandover())
 	a.pending = make(map[string]registry.Lease, len(r.GetRenewed()))
 	for _, owned := range r.GetRenewed() {
 		a.pending[owned.GetUpstream()] = registry.Lease{Epoch: owned.GetEpoch(), Until: until}
@@ -83,6 +88,33 @@
 	a.noteBehind()
 }
 
+// handOver gives up single upstreams that another host should own. a.mu is held.
+func (a *Agent) handOver(handover []*pb.OwnedEpoch) {
+	for _, owned := range handover {
+		if a.handedOver[owned.GetUpstream()] == owned.GetEpoch() {
+			continue
+		}
+		delete(a.leases, owned.GetUpstream())
+		a.handedOver[owned.GetUpstream()] = owned.GetEpoch()
+		a.Nudge()
+	}
+}
+
+// handedOverNow names the upstreams that were handed over and that the view
+// still gives to this host. Naming one again is harmless. a.mu is held.
+func (a *Agent) handedOverNow() []*pb.OwnedEpoch {
+	if a.frame == nil {
+		return nil
+	}
+	var released []*pb.OwnedEpoch
+	for _, u := range a.frame.OwnedBy(a.options.Name) {
+		if a.handedOver[u.GetName()] == u.GetOwnerEpoch() {
+			released = append(released, &pb.OwnedEpoch{Upstream: u.GetName(), Epoch: u.GetOwnerEpoch()})
+		}
+	}
+	return released
+}
+
 // countPending puts renewals in force whose version the view has. a.mu is held.
 func (a *Agent) countPending() {
 	if a.frame == nil || a.frame.Version < a.pendingRequired {
@@ -90,7 +122,8 @@
 	}
 	for name, lease := range a.pending {
 		u := a.frame.Upstreams[name]
-		if u.GetOwner() == a.options.Name && u.GetOwnerEpoch() == lease.Epoch {
+		kept := a.handedOver[name] != lease.Epoch
+		if kept && u.GetOwner() == a.options.Name && u.GetOwnerEpoch() == lease.Epoch {
 			a.leases[name] = later(a.leases[name], lease)
 		}
 	}
@@ -160,8 +193,9 @@
 	if len(a.clients) == 0 {
 		return &controlclient.Unavailable{Detail: "no control host is configured"}
 	}
-	for host := a.firstHost(); ; host++ {
-		err := a.heartbeat(ctx, host, released)
+	first := a.firstHost()
+	for i := 0; ; i++ {
+		err := a.heartbeat(ctx, first+i, released)
 		if err == nil {
 			a.log.Info("upstreams handed over", "count", len(released))
 			return nil
@@ -169,7 +203,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		a.pause(ctx)
+		a.pause(ctx, i+1)
 	}
 }
 
