--- a/standin/describe.go
+++ b/standin/describe.go
@@ -54,10 +54,13 @@
 	} else {
 		defer probe.Close()
 	}
+	// SQLite may call pg_sleep for a row that the limit then cuts off.
+	s.describing = true
+	defer func() { s.describing = false }()
 	stmt := probe.(*sqlite3.SQLiteStmt)
 	result, err := stmt.QueryContext(s.ctx, namedValues(nil, stmt.NumInput()))
 	if err != nil {
-		return nil, databaseError(err)
+		return nil, s.failure(err)
 	}
 	defer result.Close()
 	described := &prepared{}
--- a/standin/execute.go
+++ b/standin/execute.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// startStatus is start for the platform's functions, which are called before
+// every read.
+func (r *rowSink) startStatus() {
+	r.fields = statusFields
+	if r.describe {
+		r.session.out = append(r.session.out, statusDescription...)
+	}
+}
+
 func (r *rowSink) row(values []driver.Value) error {
 	r.count++
 	if r.keep {
@@ -256,7 +265,7 @@
 	}
 	result, err := p.stmt.ExecContext(s.ctx, named)
 	if err != nil {
-		return "", databaseError(err)
+		return "", s.failure(err)
 	}
 	s.logStatement(st, p, args)
 	affected, _ := result.RowsAffected()
@@ -266,20 +275,29 @@
 func (s *session) query(st *statement, p *prepared, args []driver.NamedValue, sink *rowSink) *pgError {
 	result, err := p.stmt.QueryContext(s.ctx, args)
 	if err != nil {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	rows := result.(*sqlite3.SQLiteRows)
 	defer rows.Close()
 	p.describe(rows)
 	if len(p.fields) == 0 {
-		return drain(rows)
+		return s.drain(rows)
 	}
 	return s.sendRows(st, p, rows, sink)
 }
 
-func drain(rows *sqlite3.SQLiteRows) *pgError {
+// failure maps an error of a running statement. A cancelled statement may fail
+// in several ways, depending on where the cancel hits it.
+func (s *session) failure(err error) *pgError {
+	if s.ctx.Err() != nil {
+		return cancelledError()
+	}
+	return databaseError(err)
+}
+
+func (s *session) drain(rows *sqlite3.SQLiteRows) *pgError {
 	if err := rows.Next(nil); err != nil && !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	return nil
 }
@@ -287,7 +305,7 @@
 func (s *session) sendRows(st *statement, p *prepared, rows *sqlite3.SQLiteRows, sink *rowSink) *pgError {
 	err := rows.Next(p.dest)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	if sink.fields == nil {
 		sink.start(s.observedFields(st, p, err == nil))
@@ -296,12 +314,12 @@
 	}
 	for err == nil {
 		if err := sink.row(p.dest); err != nil {
-			return databaseError(err)
+			return s.failure(err)
 		}
 		err = rows.Next(p.dest)
 	}
 	if !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	return nil
 }
--- a/standin/functions.go
+++ b/standin/functions.go
@@ -20,6 +20,15 @@
 	{"history", oidText}, {"data_age_ms", oidText}, {"primary_contact_age_ms", oidText},
 }
 
+// statusDescription is the RowDescription of statusFields in text format.
+var statusDescription = encodeStatusDescription()
+
+func encodeStatusDescription() []byte {
+	// Encode fails only for messages above 1 GiB.
+	out, _ := rowDescription(statusFields, nil).Encode(nil)
+	return out
+}
+
 // call is SELECT * FROM lovageslip_name(arguments).
 type call struct {
 	name string
@@ -65,7 +74,7 @@
 	if failure != nil {
 		return "", failure
 	}
-	sink.start(statusFields)
+	sink.startStatus()
 	if err := sink.row(statusRow(status)); err != nil {
 		return "", databaseError(err)
 	}
@@ -166,6 +175,9 @@
 
 // formatAge rounds up to microseconds, because an age is an upper bound.
 func formatAge(age time.Duration) string {
+	if age == 0 {
+		return "0"
+	}
 	micros := math.Ceil(float64(age) / float64(time.Microsecond))
 	return strconv.FormatFloat(micros/1000, 'f', 3, 64)
 }
--- a/standin/pgx_test.go
+++ b/standin/pgx_test.go
@@ -112,7 +112,7 @@
 		assert.NilError(t, conn.PgConn().CancelRequest(context.Background()))
 		select {
 		case err := <-done:
-			assert.Equal(t, code(err), "57014")
+			assert.Equal(t, code(err), "57014", "%v", err)
 			assert.Equal(t, value[int64](t, conn, "SELECT 1"), int64(1))
 			return
 		case <-time.After(10 * time.Millisecond):
--- a/standin/session.go
+++ b/standin/session.go
@@ -52,6 +52,8 @@
 	settings   settings
 	tx         transaction
 	skipping   bool
+	// describing is true while a statement is described, not run.
+	describing bool
 }
 
 func newSession(s *Server, run context.Context, conn net.Conn, reader *bufio.Reader, parameters map[string]string) *session {
@@ -267,8 +269,11 @@
 func now() string { return time.Now().UTC().Format("2006-01-02 15:04:05.999999") }
 
 // sleep is the SQL function pg_sleep(seconds).
-func (s *session) sleep(seconds float64) (string, error) {
-	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+func (s *session) sleep(seconds any) (string, error) {
+	if s.describing {
+		return "", nil
+	}
+	timer := time.NewTimer(time.Duration(toFloat(seconds) * float64(time.Second)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/upstream/pgupstream/conn.go
+++ b/upstream/pgupstream/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -30,9 +32,13 @@
 	dialer  *Dialer
 	socket  net.Conn
 	address string
+	raw     syscall.RawConn
 	in      reader
-	pid     uint32
-	secret  []byte
+	// out and held are buffers that are used again.
+	out    []byte
+	held   []byte
+	pid    uint32
+	secret []byte
 
 	state    upstream.TransactionState
 	readOnly bool
@@ -55,6 +61,7 @@
 	return &Conn{
 		dialer:   d,
 		socket:   socket,
+		raw:      rawConn(socket),
 		address:  address,
 		in:       newReader(socket),
 		prepared: map[string]struct{}{},
@@ -111,7 +118,7 @@
 	if c.broken.Load() {
 		return unavailable(c.address + ": the connection is broken")
 	}
-	if c.in.buffered() == 0 && socketUsable(c.socket) {
+	if c.in.buffered() == 0 && socketUsable(c.raw) {
 		return nil
 	}
 	c.broken.Store(true)
@@ -191,16 +198,25 @@
 	return nil
 }
 
+// parseRow decodes a DataRow. The values share one copy of it.
 func parseRow(body []byte) [][]byte {
-	var row pgproto3.DataRow
-	if err := row.Decode(body); err != nil {
+	if len(body) < 2 {
 		return nil
 	}
-	values := make([][]byte, len(row.Values))
-	for i, v := range row.Values {
-		if v != nil {
-			values[i] = append([]byte{}, v...)
+	values := make([][]byte, 0, binary.BigEndian.Uint16(body))
+	rest := append([]byte(nil), body[2:]...)
+	for len(rest) >= 4 {
+		size := int(int32(binary.BigEndian.Uint32(rest)))
+		rest = rest[4:]
+		if size < 0 {
+			values = append(values, nil)
+			continue
 		}
+		if size > len(rest) {
+			return nil
+		}
+		values = append(values, rest[:size:size])
+		rest = rest[size:]
 	}
 	return values
 }
--- a/upstream/pgupstream/ledger.go
+++ b/upstream/pgupstream/ledger.go
@@ -83,7 +83,7 @@
 	if err := c.send(r.out); err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdAll, queue: r.queue}
+	a := c.newAnswer(r, sink, holdAll)
 	if err := a.read(); err != nil {
 		return upstream.Result{}, err
 	}
@@ -206,7 +206,7 @@
 	if err := c.send(r.out); err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdAll, queue: r.queue}
+	a := c.newAnswer(r, sink, holdAll)
 	c.enterBatch()
 	err = a.read()
 	c.leaveBatch()
--- a/upstream/pgupstream/run.go
+++ b/upstream/pgupstream/run.go
@@ -55,6 +55,28 @@
 	return c.runWrite(r, sink)
 }
 
+// maxKeptBytes bounds the buffers that a connection keeps for its next batch.
+const maxKeptBytes = 64 << 10
+
+// sendBuffer sends out and keeps it for the next batch.
+func (c *Conn) sendBuffer(out []byte) error {
+	if cap(out) <= maxKeptBytes {
+		c.out = out
+	}
+	return c.send(out)
+}
+
+func (c *Conn) newAnswer(r *request, sink upstream.Sink, hold holding) *answer {
+	return &answer{conn: c, sink: sink, hold: hold, queue: r.queue, held: c.held[:0]}
+}
+
+// keepBuffer keeps the answer's buffer for the next batch.
+func (c *Conn) keepBuffer(a *answer) {
+	if cap(a.held) <= maxKeptBytes {
+		c.held = a.held
+	}
+}
+
 // modeChange returns the statement that sets the connection's mode, or "" if it
 // is set. The mode of an open transaction doesn't change.
 func (c *Conn) modeChange(readOnly bool) string {
@@ -92,13 +114,13 @@
 		check = nil
 	}
 	change := c.modeChange(true)
-	out := make([]byte, 0, len(r.out)+128)
+	out := c.out[:0]
 	if change != "" {
 		out = appendQuery(out, change)
 	}
 	out = appendQuery(out, statusSQL)
 	out = append(out, r.out...)
-	if err := c.send(out); err != nil {
+	if err := c.sendBuffer(out); err != nil {
 		return upstream.Result{}, err
 	}
 	if err := c.readModeChange(change, true); err != nil {
@@ -108,7 +130,8 @@
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdHead, queue: r.queue, discard: checkErr != nil}
+	a := c.newAnswer(r, sink, holdHead)
+	a.discard = checkErr != nil
 	if r.statements > 1 {
 		a.hold = holdSeveral
 	}
@@ -118,6 +141,7 @@
 	if err != nil {
 		return upstream.Result{}, err
 	}
+	defer c.keepBuffer(a)
 	return c.endRead(a, checkErr, wasIdle)
 }
 
@@ -175,7 +199,7 @@
 func (c *Conn) runWrite(r *request, sink upstream.Sink) (upstream.Result, error) {
 	change := c.modeChange(false)
 	pipelined := c.state == upstream.StateIdle && !r.opensTransaction()
-	out := make([]byte, 0, len(r.out)+128)
+	out := c.out[:0]
 	if change != "" {
 		out = appendQuery(out, change)
 	}
@@ -183,19 +207,20 @@
 	if pipelined {
 		out = appendQuery(out, statusSQL)
 	}
-	if err := c.send(out); err != nil {
+	if err := c.sendBuffer(out); err != nil {
 		return upstream.Result{}, err
 	}
 	if err := c.readModeChange(change, false); err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdFromAck, queue: r.queue}
+	a := c.newAnswer(r, sink, holdFromAck)
 	c.enterBatch()
 	err := a.read()
 	c.leaveBatch()
 	if err != nil {
 		return upstream.Result{}, err
 	}
+	defer c.keepBuffer(a)
 	after, err := c.statusAfter(pipelined)
 	if err != nil {
 		return upstream.Result{}, err
--- a/upstream/pgupstream/socket.go
+++ b/upstream/pgupstream/socket.go
@@ -5,20 +5,28 @@
 	"syscall"
 )
 
-// socketUsable reports whether the server has neither closed the connection
-// nor said goodbye on it. A batch that is not sent on a dead connection has
-// certainly not run.
-func socketUsable(socket net.Conn) bool {
+// rawConn gives access to a socket's descriptor; nil if there is none.
+func rawConn(socket net.Conn) syscall.RawConn {
 	holder, ok := socket.(syscall.Conn)
 	if !ok {
-		return true
+		return nil
 	}
 	raw, err := holder.SyscallConn()
 	if err != nil {
-		return false
+		return nil
+	}
+	return raw
+}
+
+// socketUsable reports whether the server has neither closed the connection
+// nor said goodbye on it. A batch that is not sent on a dead connection has
+// certainly not run.
+func socketUsable(raw syscall.RawConn) bool {
+	if raw == nil {
+		return true
 	}
 	usable := true
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		var first [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		if err != nil {
