Let a cancel reach a batch whose status answer is still under way

The context test hung for the bound of 2 s: the stand-in sends the pipelined status only with the batch's own answer, and the adapter held back its cancel until then. The adapter now holds it back only while the mode may change, and the stand-in sends what it has before it waits.

--- a/standin/execute.go
+++ b/standin/execute.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/mattn/go-sqlite3"
@@ -231,15 +230,12 @@
 	}
 	// The write lock, which enter may have waited for, is never waited for
 	// with a slot in hand; otherwise its holder might lack a slot to go on.
-	if err := s.server.slots.acquire(s.ctx); err != nil {
-		return "", cancelledError()
+	if failure := s.acquire(&s.server.slots); failure != nil {
+		return "", failure
 	}
 	defer s.server.slots.release()
-	if serviceTime := time.Duration(s.server.serviceTime.Load()); serviceTime > 0 {
-		waitFor(s.ctx, nil, serviceTime)
-	}
-	if s.ctx.Err() != nil {
-		return "", cancelledError()
+	if failure := s.serviceTime(); failure != nil {
+		return "", failure
 	}
 	return s.runPrepared(st, p, args, sink)
 }
--- a/standin/fifo.go
+++ b/standin/fifo.go
@@ -17,11 +17,25 @@
 	waiting  list.List
 }
 
+// tryAcquire takes a place if there is one without waiting.
+func (f *fifo) tryAcquire() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tryLocked()
+}
+
+func (f *fifo) tryLocked() bool {
+	free := f.capacity == 0 || f.held < f.capacity && f.waiting.Len() == 0
+	if free {
+		f.held++
+	}
+	return free
+}
+
 // acquire waits for a place. It fails only when ctx ends.
 func (f *fifo) acquire(ctx context.Context) error {
 	f.mu.Lock()
-	if f.capacity == 0 || f.held < f.capacity && f.waiting.Len() == 0 {
-		f.held++
+	if f.tryLocked() {
 		f.mu.Unlock()
 		return nil
 	}
--- a/standin/session.go
+++ b/standin/session.go
@@ -103,6 +103,35 @@
 	return s.flush()
 }
 
+// acquire takes a place in one of the server's queues. Answers that are already
+// there are sent before a wait, so that the client learns of them.
+func (s *session) acquire(queue *fifo) *pgError {
+	if queue.tryAcquire() {
+		return nil
+	}
+	if err := s.flush(); err != nil {
+		return databaseError(err)
+	}
+	if err := queue.acquire(s.ctx); err != nil {
+		return cancelledError()
+	}
+	return nil
+}
+
+// serviceTime spends the time that the server is set to take for a statement.
+func (s *session) serviceTime() *pgError {
+	if limit := time.Duration(s.server.serviceTime.Load()); limit > 0 {
+		if err := s.flush(); err != nil {
+			return databaseError(err)
+		}
+		waitFor(s.ctx, nil, limit)
+	}
+	if s.ctx.Err() != nil {
+		return cancelledError()
+	}
+	return nil
+}
+
 // fatal answers an error that ends the connection.
 func (s *session) fatal(err *pgError) {
 	err.Severity = "FATAL"
@@ -273,6 +302,9 @@
 	if s.describing {
 		return "", nil
 	}
+	if err := s.flush(); err != nil {
+		return "", err
+	}
 	timer := time.NewTimer(time.Duration(toFloat(seconds) * float64(time.Second)))
 	defer timer.Stop()
 	select {
--- a/standin/transaction.go
+++ b/standin/transaction.go
@@ -68,8 +68,8 @@
 		return readOnlyError(keyword)
 	}
 	if !s.tx.writer {
-		if err := s.server.writer.acquire(s.ctx); err != nil {
-			return cancelledError()
+		if failure := s.acquire(&s.server.writer); failure != nil {
+			return failure
 		}
 		s.tx.writer = true
 	}
--- a/upstream/pgupstream/run.go
+++ b/upstream/pgupstream/run.go
@@ -126,8 +126,10 @@
 	if err := c.readModeChange(change, true); err != nil {
 		return upstream.Result{}, err
 	}
+	c.enterBatch()
 	checkErr, err := c.readCheck(check)
 	if err != nil {
+		c.leaveBatch()
 		return upstream.Result{}, err
 	}
 	a := c.newAnswer(r, sink, holdHead)
@@ -135,7 +137,6 @@
 	if r.statements > 1 {
 		a.hold = holdSeveral
 	}
-	c.enterBatch()
 	err = a.read()
 	c.leaveBatch()
 	if err != nil {
@@ -152,10 +153,7 @@
 		return nil, err
 	}
 	if result.failure != nil {
-		if check == nil {
-			return nil, nil
-		}
-		return result.failure, nil
+		return statusRefused(result.failure, check), nil
 	}
 	status, err := c.statusOf(result)
 	if err != nil || check == nil {
@@ -164,6 +162,18 @@
 	return check(status), nil
 }
 
+// statusRefused judges a read whose status query failed: without a check the
+// status doesn't matter.
+func statusRefused(failure *fault.Database, check upstream.Check) error {
+	if check == nil {
+		return nil
+	}
+	if failure.Code == codeCancelled {
+		return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: failure.Message}
+	}
+	return failure
+}
+
 func (c *Conn) endRead(a *answer, checkErr error, wasIdle bool) (upstream.Result, error) {
 	if checkErr != nil {
 		return upstream.Result{}, c.rollbackAfter(checkErr)
