--- a/standin/fifo.go
+++ b/standin/fifo.go
@@ -87,3 +87,10 @@
 		close(first.Value.(chan struct{}))
 	}
 }
+
+// queued returns the number of waiters.
+func (f *fifo) queued() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting.Len()
+}
--- a/standin/guess.go
+++ b/standin/guess.go
@@ -38,7 +38,7 @@
 
 func (g *guess) parameter(number int) uint32 {
 	if isCall(g.st) {
-		return oidText
+		return callParameter(g.st, number)
 	}
 	for i, t := range g.st.tokens {
 		if t.kind != tokenParameter || parameterNumber(t) != number {
@@ -51,6 +51,15 @@
 	return oidText
 }
 
+// callParameter types an argument of the platform's functions: all are numbers
+// but the address to follow.
+func callParameter(st *statement, number int) uint32 {
+	if st.word(3) == "LOVAGESLIP_FOLLOW" && number > 1 {
+		return oidText
+	}
+	return oidInt8
+}
+
 // around types the parameter at token i by its neighbours.
 func (g *guess) around(i int) uint32 {
 	tokens := g.st.tokens
--- a/upstream/pgupstream/conn.go
+++ b/upstream/pgupstream/conn.go
@@ -45,9 +45,10 @@
 	prepared map[string]struct{}
 	broken   atomic.Bool
 
-	// gate is held while the server may not be cancelled: between batches
-	// and while it runs injected statements. It guards running and
-	// cancelSent. It is a channel, so that waiting for it can end.
+	// gate is held while the server may not be cancelled: between batches,
+	// during a change of mode, and while statements of the ledger run. It
+	// guards running and cancelSent. It is a channel, so that waiting for it
+	// can end.
 	gate       chan struct{}
 	running    bool
 	cancelSent bool
