--- /dev/null
+++ b/loadgen/report.go
@@ -0,0 +1,102 @@
+package loadgen
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lovageslip/fault"
+)
+
+const barWidth = 40
+
+// WriteTable writes the results as text: a line for each kind of work.
+// Errors: *fault.IO.
+func (r *Result) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(table, "profile %s, seed %d, %.1f s\n", r.Profile, r.Seed, r.Elapsed.Seconds())
+	fmt.Fprintln(table, "work\tsent\tok\tinside\tp50\tp90\tp99\tp99.9\tmax\tlongest gap\tat\t")
+	for _, work := range r.Work {
+		l := work.Latency
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f %%\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n",
+			work.Name, work.Sent, work.OK, 100*work.Share,
+			short(l.P50), short(l.P90), short(l.P99), short(l.P999), short(l.Max),
+			short(work.LongestGap), short(work.GapAt))
+	}
+	if err := table.Flush(); err != nil {
+		return &fault.IO{Op: "write table", Err: err}
+	}
+	return r.writeOutcomes(w)
+}
+
+func (r *Result) writeOutcomes(w io.Writer) error {
+	for _, work := range r.Work {
+		var parts []string
+		for _, outcome := range slices.Sorted(maps.Keys(work.Outcomes)) {
+			parts = append(parts, fmt.Sprintf("%s %d", outcome, work.Outcomes[outcome]))
+		}
+		if _, err := fmt.Fprintf(w, "%s: %s\n", work.Name, strings.Join(parts, ", ")); err != nil {
+			return &fault.IO{Op: "write outcomes", Err: err}
+		}
+	}
+	return nil
+}
+
+// WriteChart draws the seconds of each kind of work as bars: '#' for requests
+// that succeeded inside their wait, '+' for those that succeeded late, '.' for
+// those that failed.
+// Errors: *fault.IO.
+func (r *Result) WriteChart(w io.Writer) error {
+	for _, work := range r.Work {
+		if _, err := fmt.Fprintf(w, "%s: # inside, + late, . failed; p50, p99\n", work.Name); err != nil {
+			return &fault.IO{Op: "write chart", Err: err}
+		}
+		if err := work.writeBars(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *WorkResult) writeBars(w io.Writer) error {
+	most := int64(1)
+	for _, second := range r.Seconds {
+		most = max(most, second.Sent)
+	}
+	for i, second := range r.Seconds {
+		if second.Sent == 0 {
+			continue
+		}
+		_, err := fmt.Fprintf(w, "%4d s %6d %-*s %8s %8s\n",
+			i, second.Sent, barWidth, second.bar(most), short(second.P50), short(second.P99))
+		if err != nil {
+			return &fault.IO{Op: "write chart", Err: err}
+		}
+	}
+	return nil
+}
+
+func (s Second) bar(most int64) string {
+	scale := func(n int64) int { return int((n*barWidth + most - 1) / most) }
+	inside := scale(s.Inside)
+	ok := max(scale(s.OK), inside)
+	sent := max(scale(s.Sent), ok)
+	return strings.Repeat("#", inside) + strings.Repeat("+", ok-inside) + strings.Repeat(".", sent-ok)
+}
+
+// short prints a duration with three digits.
+func short(d time.Duration) string {
+	switch {
+	case d >= 10*time.Second:
+		return fmt.Sprintf("%.1fs", d.Seconds())
+	case d >= time.Second:
+		return fmt.Sprintf("%.2fs", d.Seconds())
+	case d >= 10*time.Millisecond:
+		return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+	}
+	return fmt.Sprintf("%.2fms", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/standin/failover_test.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"lovageslip/upstream"
+)
+
+// changingGroup is a group whose primary is replaced while writers run.
+type changingGroup struct {
+	servers []*Server
+	primary atomic.Pointer[Server]
+	next    atomic.Int64
+	done    atomic.Bool
+	mu      sync.Mutex
+	// confirmed lists the rows that a majority held under one term. mu
+	// guards it.
+	confirmed []int64
+}
+
+// write inserts rows into whichever server is the primary and notes those that
+// a second server holds, as the owner of a primary does.
+func (g *changingGroup) write(ctx context.Context) {
+	for !g.done.Load() {
+		server := g.primary.Load()
+		conn, err := pgconn.Connect(ctx, "postgres://u@"+server.Address()+"/db")
+		if err != nil {
+			continue
+		}
+		for g.writeRow(ctx, server, conn) && !g.done.Load() {
+		}
+		conn.Close(ctx)
+	}
+}
+
+func (g *changingGroup) writeRow(ctx context.Context, server *Server, conn *pgconn.PgConn) bool {
+	id := g.next.Add(1)
+	_, err := conn.ExecParams(ctx, "INSERT INTO v VALUES ($1::int8)", [][]byte{appendText(nil, id, oidInt8)}, nil, nil, nil).Close()
+	if err != nil {
+		return false
+	}
+	position := server.Status().Position()
+	for range 50 {
+		if g.held(server, position) {
+			g.mu.Lock()
+			g.confirmed = append(g.confirmed, id)
+			g.mu.Unlock()
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+func (g *changingGroup) held(writer *Server, p upstream.Position) bool {
+	for _, s := range g.servers {
+		status := s.Status()
+		if s != writer && status.Term == p.Term && status.Fenced == p.Term && status.Includes(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// change replaces the primary at a term, while the old one may be cut off.
+func (g *changingGroup) change(t *testing.T, term int) {
+	t.Helper()
+	old := g.primary.Load()
+	var chosen *Server
+	for _, s := range g.servers {
+		if s == old {
+			continue
+		}
+		command(t, s, "fence(%d)", term)
+		if chosen == nil || ahead(s.Status(), chosen.Status()) {
+			chosen = s
+		}
+	}
+	command(t, chosen, "promote(%d)", term)
+	g.primary.Store(chosen)
+	for _, s := range g.servers {
+		if s != chosen {
+			command(t, s, "follow(%d, '%s')", term, chosen.Address())
+		}
+	}
+}
+
+// ahead compares the ends of two logs by the last term in their history.
+func ahead(a, b upstream.Status) bool {
+	last := func(s upstream.Status) upstream.Position {
+		return upstream.Position{Term: s.History[len(s.History)-1].Term, Offset: s.Offset}
+	}
+	return last(b).Before(last(a))
+}
+
+// Guards against a confirmed row that a change of primary loses, and against
+// servers that differ afterwards.
+func TestConfirmedRowsSurviveChanges(t *testing.T) {
+	g := &changingGroup{servers: group(t, 2, Options{})}
+	g.primary.Store(g.servers[0])
+	run(t, dial(t, g.servers[0]), "CREATE TABLE v (id INTEGER PRIMARY KEY)")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() { g.write(ctx) })
+	}
+	for term := 2; term < 12; term++ {
+		before := g.count()
+		eventually(t, "rows confirmed", func() bool { return g.count() > before+20 })
+		g.change(t, term)
+	}
+	g.done.Store(true)
+	writers.Wait()
+	end := g.primary.Load().Status()
+	for _, s := range g.servers {
+		eventually(t, "in step", func() bool {
+			status := s.Status()
+			return status.Includes(end.Position()) && status.Offset == end.Offset
+		})
+		assert.DeepEqual(t, s.Status().History, end.History)
+		conn := dial(t, s)
+		for _, id := range g.confirmed {
+			assert.Equal(t, value[int64](t, conn, "SELECT count(*) FROM v WHERE id = $1", id), int64(1), "row %d", id)
+		}
+	}
+}
+
+func (g *changingGroup) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.confirmed)
+}
--- a/upstream/pgupstream/fault_test.go
+++ b/upstream/pgupstream/fault_test.go
@@ -138,3 +138,16 @@
 	}
 	assert.Equal(t, read(conn, "SELECT 1").kinds(), "TDCZ")
 }
+
+// Guards against answers that are misread when they arrive in small parts.
+func TestAnswerInSmallParts(t *testing.T) {
+	server := startServer(t, standin.Options{})
+	link := newLink(t, server.Address())
+	link.add(`{"name":"slice","type":"slicer","attributes":{"average_size":7,"size_variation":6,"delay":0}}`)
+	conn := dialConn(t, link.address())
+	mustWrite(t, conn, createV+"; INSERT INTO v VALUES (1, 'a'), (2, 'b')")
+	for range 20 {
+		assert.Equal(t, read(conn, "SELECT * FROM v").kinds(), "TDDCZ")
+		assert.Equal(t, mustWrite(t, conn, "UPDATE v SET n = 'c' WHERE id = 1").kinds(), "CZ")
+	}
+}
--- a/upstream/pgupstream/ledger.go
+++ b/upstream/pgupstream/ledger.go
@@ -104,7 +104,7 @@
 // claim inserts the ledger row. Without an error and without Replayed, the id
 // is claimed and the transaction is open.
 func (c *Conn) claim(id, sql string) (upstream.Result, error) {
-	result, err := c.query(sql)
+	result, err := c.claimQuery(sql)
 	if err != nil {
 		return upstream.Result{}, err
 	}
@@ -125,6 +125,19 @@
 	return upstream.Result{}, c.claimRefused(result.failure)
 }
 
+// claimQuery inserts the row. It may wait for another transaction with the same
+// id, so it can be cancelled. If the link breaks, nothing has run: the
+// transaction can't commit, because COMMIT was not sent.
+func (c *Conn) claimQuery(sql string) (*rows, error) {
+	c.enterBatch()
+	result, err := c.query(sql)
+	c.leaveBatch()
+	if err != nil {
+		return nil, unavailable("request ledger: " + err.Error())
+	}
+	return result, nil
+}
+
 // claimRefused reports a claim that failed. Its transaction is rolled back, so
 // the request hasn't run.
 func (c *Conn) claimRefused(failure *fault.Database) error {
--- a/upstream/pgupstream/ledger_test.go
+++ b/upstream/pgupstream/ledger_test.go
@@ -1,10 +1,12 @@
 package pgupstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -148,3 +150,20 @@
 	notRun(t, write(conn, "INSERT INTO v VALUES (1, 'x')", "other").err, fault.ReasonNotPrimary)
 	assert.Equal(t, count(t, conn), 0)
 }
+
+// Guards against a duplicate that waits for the first try's transaction and
+// can't be cancelled.
+func TestWaitingDuplicateIsCancelled(t *testing.T) {
+	server := startServer(t, standin.Options{})
+	first, second := dialConn(t, server.Address()), dialConn(t, server.Address())
+	mustWrite(t, first, createV)
+	assert.NilError(t, write(first, "BEGIN", "id").err)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	batch := upstream.Batch{Mode: upstream.ModeWrite, Payload: query("INSERT INTO v VALUES (1, 'x')"), RequestID: "id"}
+	_, err := second.Run(ctx, batch, nil, (&collected{}).sink)
+	notRun(t, err, fault.ReasonCancelled)
+	assert.Assert(t, !second.Broken())
+	mustWrite(t, first, "COMMIT")
+	assert.Equal(t, count(t, second), 0)
+}
--- a/upstream/pgupstream/toxic_test.go
+++ b/upstream/pgupstream/toxic_test.go
@@ -32,7 +32,11 @@
 // cutAfter closes the link once it has carried that many bytes of answers.
 func (l *link) cutAfter(bytes int) {
 	l.t.Helper()
-	toxic := fmt.Sprintf(`{"name":"cut","type":"limit_data","attributes":{"bytes":%d}}`, bytes)
+	l.add(fmt.Sprintf(`{"name":"cut","type":"limit_data","attributes":{"bytes":%d}}`, bytes))
+}
+
+func (l *link) add(toxic string) {
+	l.t.Helper()
 	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
 	assert.NilError(l.t, err)
 }
