Report a commit of a server that was replaced meanwhile as unknown

The status after a write could come from a server that had been made a replica after the commit and had discarded it; its position would then have been confirmed. The adapter now compares the term before and after the batch.

--- a/upstream/pgupstream/ledger.go
+++ b/upstream/pgupstream/ledger.go
@@ -153,7 +153,7 @@
 // readOnlyRefusal tells a server that may not write from a transaction that
 // doesn't want to.
 func (c *Conn) readOnlyRefusal(failure *fault.Database) error {
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return err
 	}
@@ -179,6 +179,10 @@
 // replay returns the stored answer of the transaction that committed with the
 // same id. The status is asked afterwards, so its position covers that commit.
 func (c *Conn) replay(id string) (upstream.Result, error) {
+	before, err := c.askStatus()
+	if err != nil {
+		return upstream.Result{}, err
+	}
 	found, err := c.query("SELECT answer FROM lovageslip_requests WHERE id = " + quote(id))
 	if err != nil {
 		return upstream.Result{}, err
@@ -190,10 +194,13 @@
 		// The row was deleted between the two statements.
 		return upstream.Result{}, &ledgerRetry{}
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
+	if !sameReign(before, after) {
+		return upstream.Result{}, c.unconfirmable()
+	}
 	result := upstream.Result{State: c.state, After: *after, Committed: true, Replayed: true}
 	stored := found.values[0][0]
 	if stored == nil {
@@ -216,12 +223,15 @@
 	if err != nil || claimed.Replayed {
 		return claimed, err
 	}
-	if err := c.send(r.out); err != nil {
+	if err := c.send(append(appendQuery(nil, statusSQL), r.out...)); err != nil {
 		return upstream.Result{}, err
 	}
 	a := c.newAnswer(r, sink, holdAll)
 	c.enterBatch()
-	err = a.read()
+	before, err := c.statusBefore()
+	if err == nil {
+		err = a.read()
+	}
 	c.leaveBatch()
 	if err != nil {
 		return upstream.Result{}, err
@@ -236,11 +246,11 @@
 		// ledger row is part of it.
 		return upstream.Result{State: c.state, DatabaseError: a.failure != nil}, c.finishAnswer(a)
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	return c.endWrite(a, after)
+	return c.endWrite(a, before, after)
 }
 
 // failOnce ends a batch that the database refused: the row goes, and the caller
@@ -249,12 +259,12 @@
 	if err := c.rollback(); err != nil {
 		return upstream.Result{}, err
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
 	a.setFinalState('I')
-	return c.endWrite(a, after)
+	return c.endWrite(a, nil, after)
 }
 
 // commitOnce stores the answer and commits.
@@ -265,16 +275,21 @@
 		stored := base64.StdEncoding.EncodeToString(a.held)
 		sql = "UPDATE lovageslip_requests SET answer = '" + stored + "' WHERE id = " + quote(id) + "; COMMIT"
 	}
-	if err := c.send(appendQuery(appendQuery(nil, sql), statusSQL)); err != nil {
+	out := appendQuery(appendQuery(appendQuery(nil, statusSQL), sql), statusSQL)
+	if err := c.send(out); err != nil {
 		// Without a byte of COMMIT, the transaction can't commit any more, so
 		// the NotRun that send may report is right.
 		return upstream.Result{}, err
 	}
+	before, err := c.statusBefore()
+	if err != nil {
+		return upstream.Result{}, err
+	}
 	result, err := c.readRows()
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	after, err := c.statusAfter(true)
+	after, err := c.statusAfter()
 	if err != nil {
 		return upstream.Result{}, err
 	}
@@ -282,7 +297,7 @@
 		return c.refusedOnce(a, result.failure, after)
 	}
 	a.committed = true
-	return c.endWrite(a, after)
+	return c.endWrite(a, before, after)
 }
 
 // refusedOnce answers the error of the COMMIT in place of the batch's own
@@ -293,7 +308,7 @@
 	}
 	if after == nil {
 		var err error
-		if after, err = c.statusAfter(false); err != nil {
+		if after, err = c.askStatus(); err != nil {
 			return upstream.Result{}, err
 		}
 	}
@@ -301,7 +316,7 @@
 	a.committed = false
 	a.ackAt = -1
 	a.held = errorAnswer(failure)
-	return c.endWrite(a, after)
+	return c.endWrite(a, nil, after)
 }
 
 func errorAnswer(failure *fault.Database) []byte {
--- a/upstream/pgupstream/run.go
+++ b/upstream/pgupstream/run.go
@@ -204,58 +204,71 @@
 	return nil
 }
 
-// runWrite sends [mode change] [batch] and a status query, at once if the batch
-// will probably leave no transaction open.
+// runWrite sends [mode change] [status query] [batch] [status query] in one go.
+// Only both statuses together say which log a commit belongs to: between the
+// commit and the second query the server may have been replaced and have
+// discarded the commit.
 func (c *Conn) runWrite(r *request, sink upstream.Sink) (upstream.Result, error) {
 	change := c.modeChange(false)
-	pipelined := c.state == upstream.StateIdle && !r.opensTransaction()
 	out := c.out[:0]
 	if change != "" {
 		out = appendQuery(out, change)
 	}
+	out = appendQuery(out, statusSQL)
 	out = append(out, r.out...)
-	if pipelined {
-		out = appendQuery(out, statusSQL)
-	}
+	out = appendQuery(out, statusSQL)
 	if err := c.sendBuffer(out); err != nil {
 		return upstream.Result{}, err
 	}
 	if err := c.readModeChange(change, false); err != nil {
 		return upstream.Result{}, err
 	}
-	a := c.newAnswer(r, sink, holdFromAck)
+	return c.readWrite(c.newAnswer(r, sink, holdFromAck))
+}
+
+// readWrite reads the answers to [status query] [batch] [status query].
+func (c *Conn) readWrite(a *answer) (upstream.Result, error) {
 	c.enterBatch()
-	err := a.read()
+	before, err := c.statusBefore()
+	if err == nil {
+		err = a.read()
+	}
 	c.leaveBatch()
 	if err != nil {
 		return upstream.Result{}, err
 	}
 	defer c.keepBuffer(a)
-	after, err := c.statusAfter(pipelined)
+	after, err := c.statusAfter()
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	return c.endWrite(a, after)
+	return c.endWrite(a, before, after)
 }
 
-// statusAfter returns the status after a batch, or nil if the server doesn't
-// give it inside a failed transaction. A cancel request that came late may have
-// hit the pipelined query, which is then repeated.
-func (c *Conn) statusAfter(pipelined bool) (*upstream.Status, error) {
-	if pipelined {
-		state := c.state
-		result, err := c.readRows()
-		if err != nil {
-			return nil, err
-		}
-		if result.failure == nil {
-			status, err := c.statusOf(result)
-			return &status, err
-		}
-		if state != upstream.StateIdle {
-			return nil, nil
-		}
+// statusBefore reads the answer to a status query that precedes a write; nil if
+// the server refused it, as it does in a failed transaction.
+func (c *Conn) statusBefore() (*upstream.Status, error) {
+	result, err := c.readRows()
+	if err != nil || result.failure != nil {
+		return nil, err
 	}
+	status, err := c.statusOf(result)
+	return &status, err
+}
+
+// statusAfter reads the answer to a status query that follows a write; nil if
+// the server doesn't give it inside a failed transaction. A cancel request that
+// came late may have hit the query, which is then repeated.
+func (c *Conn) statusAfter() (*upstream.Status, error) {
+	status, err := c.statusBefore()
+	if err != nil || status != nil || c.state != upstream.StateIdle {
+		return status, err
+	}
+	return c.askStatus()
+}
+
+// askStatus asks for the status on its own; nil as for statusAfter.
+func (c *Conn) askStatus() (*upstream.Status, error) {
 	result, err := c.query(statusSQL)
 	if err != nil {
 		return nil, err
@@ -270,12 +283,27 @@
 	return &status, err
 }
 
+// sameReign reports whether the server led one term from the first status to
+// the second. Terms never return, so nothing was discarded in between.
+func sameReign(before, after *upstream.Status) bool {
+	return before != nil && before.Role == upstream.RolePrimary &&
+		after.Role == upstream.RolePrimary && before.Term == after.Term
+}
+
+// unconfirmable reports a commit that can't be given a position.
+func (c *Conn) unconfirmable() error {
+	return &fault.OutcomeUnknown{
+		Reason: fault.ReasonUnconfirmedPosition,
+		Detail: c.address + ": the server was replaced while the batch ran",
+	}
+}
+
 // leads reports whether the server may commit writes.
 func leads(s *upstream.Status) bool {
 	return s.Role == upstream.RolePrimary && s.Fenced <= s.Term
 }
 
-func (c *Conn) endWrite(a *answer, after *upstream.Status) (upstream.Result, error) {
+func (c *Conn) endWrite(a *answer, before, after *upstream.Status) (upstream.Result, error) {
 	if a.code() == codeReadOnly && !a.passed && after != nil && !leads(after) {
 		refused := &fault.NotRun{Reason: fault.ReasonNotPrimary, Detail: a.failure.Message}
 		return upstream.Result{}, c.rollbackAfter(refused)
@@ -288,6 +316,9 @@
 	if !a.mayHaveCommitted() {
 		return result, c.finishAnswer(a)
 	}
+	if !sameReign(before, after) {
+		return upstream.Result{}, c.unconfirmable()
+	}
 	result.Committed = true
 	var err error
 	result.Tail, err = a.tail()
