Queue writes of the stand-in for a slot in order of arrival

A write took the write lock before it queued for a slot, so that under overload each write waited for a whole queue of slots while it kept the others out: in a trial with 3 slots and 2 ms of service at 10 times the rate, writes took 0.7 to 1.3 s longer than reads.

--- a/standin/execute.go
+++ b/standin/execute.go
@@ -225,15 +225,18 @@
 	if failure != nil {
 		return "", failure
 	}
-	if failure := s.enter(st, p); failure != nil {
-		return "", failure
+	if !p.readOnly {
+		if failure := s.checkWrite(st.keyword); failure != nil {
+			return "", failure
+		}
 	}
-	// The write lock, which enter may have waited for, is never waited for
-	// with a slot in hand; otherwise its holder might lack a slot to go on.
-	if failure := s.acquire(&s.server.slots); failure != nil {
+	if failure := s.takeSlot(!p.readOnly); failure != nil {
 		return "", failure
 	}
 	defer s.server.slots.release()
+	if failure := s.enter(st, p); failure != nil {
+		return "", failure
+	}
 	if failure := s.serviceTime(); failure != nil {
 		return "", failure
 	}
@@ -242,7 +245,7 @@
 
 func (s *session) enter(st *statement, p *prepared) *pgError {
 	if !p.readOnly {
-		return s.prepareWrite(st.keyword)
+		return s.beginWrite(st.keyword)
 	}
 	if s.tx.explicit {
 		return s.beginInDatabase()
--- a/standin/fifo.go
+++ b/standin/fifo.go
@@ -34,13 +34,22 @@
 
 // acquire waits for a place. It fails only when ctx ends.
 func (f *fifo) acquire(ctx context.Context) error {
+	return f.enqueue(ctx, f.waiting.PushBack)
+}
+
+// acquireNext is acquire ahead of all that wait.
+func (f *fifo) acquireNext(ctx context.Context) error {
+	return f.enqueue(ctx, f.waiting.PushFront)
+}
+
+func (f *fifo) enqueue(ctx context.Context, push func(any) *list.Element) error {
 	f.mu.Lock()
 	if f.tryLocked() {
 		f.mu.Unlock()
 		return nil
 	}
 	granted := make(chan struct{})
-	element := f.waiting.PushBack(granted)
+	element := push(granted)
 	f.mu.Unlock()
 	select {
 	case <-granted:
--- a/standin/session.go
+++ b/standin/session.go
@@ -103,16 +103,40 @@
 	return s.flush()
 }
 
-// acquire takes a place in one of the server's queues. Answers that are already
+// takeSlot waits for a slot, in order of arrival, and for the write lock if a
+// write doesn't hold it yet. The lock is never waited for with a slot in hand,
+// because its holder may lack a slot to go on; and whoever got the lock is next
+// for a slot, because others wait for the lock.
+func (s *session) takeSlot(write bool) *pgError {
+	slots, writer := &s.server.slots, &s.server.writer
+	if failure := s.wait(slots.tryAcquire, slots.acquire); failure != nil {
+		return failure
+	}
+	if !write || s.tx.writer {
+		return nil
+	}
+	if writer.tryAcquire() {
+		s.tx.writer = true
+		return nil
+	}
+	slots.release()
+	if failure := s.wait(writer.tryAcquire, writer.acquire); failure != nil {
+		return failure
+	}
+	s.tx.writer = true
+	return s.wait(slots.tryAcquire, slots.acquireNext)
+}
+
+// wait takes a place in one of the server's queues. Answers that are already
 // there are sent before a wait, so that the client learns of them.
-func (s *session) acquire(queue *fifo) *pgError {
-	if queue.tryAcquire() {
+func (s *session) wait(try func() bool, acquire func(context.Context) error) *pgError {
+	if try() {
 		return nil
 	}
 	if err := s.flush(); err != nil {
 		return databaseError(err)
 	}
-	if err := queue.acquire(s.ctx); err != nil {
+	if err := acquire(s.ctx); err != nil {
 		return cancelledError()
 	}
 	return nil
--- a/standin/transaction.go
+++ b/standin/transaction.go
@@ -58,23 +58,22 @@
 	return nil
 }
 
-// prepareWrite checks that the server takes writes and acquires the write
-// lock, in order of arrival, so that SQLite never has to wait for its own.
-func (s *session) prepareWrite(keyword string) *pgError {
+// checkWrite refuses a write that the session or the server may not do.
+func (s *session) checkWrite(keyword string) *pgError {
 	if s.readOnly() {
 		return readOnlyError(keyword)
 	}
 	if _, ok := s.server.state.mayWrite(); !ok {
 		return readOnlyError(keyword)
 	}
-	if !s.tx.writer {
-		if failure := s.acquire(&s.server.writer); failure != nil {
-			return failure
-		}
-		s.tx.writer = true
-	}
-	if err := s.beginInDatabase(); err != nil {
-		return err
+	return nil
+}
+
+// beginWrite opens SQLite's transaction for a write. The session holds the
+// server's write lock, so that SQLite never has to wait for its own.
+func (s *session) beginWrite(keyword string) *pgError {
+	if failure := s.beginInDatabase(); failure != nil {
+		return failure
 	}
 	// Checked again after the transaction is visible to closeTransactions,
 	// so that a server that lost its role in between holds no lock.
