--- a/standin/execute.go
+++ b/standin/execute.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/mattn/go-sqlite3"
@@ -53,6 +52,15 @@
 	}
 }
 
+// startStatus is start for the platform's functions, which are called before
+// every read.
+func (r *rowSink) startStatus() {
+	r.fields = statusFields
+	if r.describe {
+		r.session.out = append(r.session.out, statusDescription...)
+	}
+}
+
 func (r *rowSink) row(values []driver.Value) error {
 	r.count++
 	if r.keep {
@@ -217,27 +225,27 @@
 	if failure != nil {
 		return "", failure
 	}
-	if failure := s.enter(st, p); failure != nil {
-		return "", failure
+	if !p.readOnly {
+		if failure := s.checkWrite(st.keyword); failure != nil {
+			return "", failure
+		}
 	}
-	// The write lock, which enter may have waited for, is never waited for
-	// with a slot in hand; otherwise its holder might lack a slot to go on.
-	if err := s.server.slots.acquire(s.ctx); err != nil {
-		return "", cancelledError()
+	if failure := s.takeSlot(!p.readOnly); failure != nil {
+		return "", failure
 	}
 	defer s.server.slots.release()
-	if serviceTime := time.Duration(s.server.serviceTime.Load()); serviceTime > 0 {
-		waitFor(s.ctx, nil, serviceTime)
+	if failure := s.enter(st, p); failure != nil {
+		return "", failure
 	}
-	if s.ctx.Err() != nil {
-		return "", cancelledError()
+	if failure := s.serviceTime(); failure != nil {
+		return "", failure
 	}
 	return s.runPrepared(st, p, args, sink)
 }
 
 func (s *session) enter(st *statement, p *prepared) *pgError {
 	if !p.readOnly {
-		return s.prepareWrite(st.keyword)
+		return s.beginWrite(st.keyword)
 	}
 	if s.tx.explicit {
 		return s.beginInDatabase()
@@ -256,7 +264,7 @@
 	}
 	result, err := p.stmt.ExecContext(s.ctx, named)
 	if err != nil {
-		return "", databaseError(err)
+		return "", s.failure(err)
 	}
 	s.logStatement(st, p, args)
 	affected, _ := result.RowsAffected()
@@ -266,20 +274,29 @@
 func (s *session) query(st *statement, p *prepared, args []driver.NamedValue, sink *rowSink) *pgError {
 	result, err := p.stmt.QueryContext(s.ctx, args)
 	if err != nil {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	rows := result.(*sqlite3.SQLiteRows)
 	defer rows.Close()
 	p.describe(rows)
 	if len(p.fields) == 0 {
-		return drain(rows)
+		return s.drain(rows)
 	}
 	return s.sendRows(st, p, rows, sink)
 }
 
-func drain(rows *sqlite3.SQLiteRows) *pgError {
+// failure maps an error of a running statement. A cancelled statement may fail
+// in several ways, depending on where the cancel hits it.
+func (s *session) failure(err error) *pgError {
+	if s.ctx.Err() != nil {
+		return cancelledError()
+	}
+	return databaseError(err)
+}
+
+func (s *session) drain(rows *sqlite3.SQLiteRows) *pgError {
 	if err := rows.Next(nil); err != nil && !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	return nil
 }
@@ -287,7 +304,7 @@
 func (s *session) sendRows(st *statement, p *prepared, rows *sqlite3.SQLiteRows, sink *rowSink) *pgError {
 	err := rows.Next(p.dest)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	if sink.fields == nil {
 		sink.start(s.observedFields(st, p, err == nil))
@@ -296,12 +313,12 @@
 	}
 	for err == nil {
 		if err := sink.row(p.dest); err != nil {
-			return databaseError(err)
+			return s.failure(err)
 		}
 		err = rows.Next(p.dest)
 	}
 	if !errors.Is(err, io.EOF) {
-		return databaseError(err)
+		return s.failure(err)
 	}
 	return nil
 }
--- a/standin/fifo.go
+++ b/standin/fifo.go
@@ -17,16 +17,39 @@
 	waiting  list.List
 }
 
+// tryAcquire takes a place if there is one without waiting.
+func (f *fifo) tryAcquire() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tryLocked()
+}
+
+func (f *fifo) tryLocked() bool {
+	free := f.capacity == 0 || f.held < f.capacity && f.waiting.Len() == 0
+	if free {
+		f.held++
+	}
+	return free
+}
+
 // acquire waits for a place. It fails only when ctx ends.
 func (f *fifo) acquire(ctx context.Context) error {
+	return f.enqueue(ctx, f.waiting.PushBack)
+}
+
+// acquireNext is acquire ahead of all that wait.
+func (f *fifo) acquireNext(ctx context.Context) error {
+	return f.enqueue(ctx, f.waiting.PushFront)
+}
+
+func (f *fifo) enqueue(ctx context.Context, push func(any) *list.Element) error {
 	f.mu.Lock()
-	if f.capacity == 0 || f.held < f.capacity && f.waiting.Len() == 0 {
-		f.held++
+	if f.tryLocked() {
 		f.mu.Unlock()
 		return nil
 	}
 	granted := make(chan struct{})
-	element := f.waiting.PushBack(granted)
+	element := push(granted)
 	f.mu.Unlock()
 	select {
 	case <-granted:
@@ -73,3 +96,10 @@
 		close(first.Value.(chan struct{}))
 	}
 }
+
+// queued returns the number of waiters.
+func (f *fifo) queued() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting.Len()
+}
--- a/standin/session.go
+++ b/standin/session.go
@@ -52,6 +52,8 @@
 	settings   settings
 	tx         transaction
 	skipping   bool
+	// describing is true while a statement is described, not run.
+	describing bool
 }
 
 func newSession(s *Server, run context.Context, conn net.Conn, reader *bufio.Reader, parameters map[string]string) *session {
@@ -101,6 +103,59 @@
 	return s.flush()
 }
 
+// takeSlot waits for a slot, in order of arrival, and for the write lock if a
+// write doesn't hold it yet. The lock is never waited for with a slot in hand,
+// because its holder may lack a slot to go on; and whoever got the lock is next
+// for a slot, because others wait for the lock.
+func (s *session) takeSlot(write bool) *pgError {
+	slots, writer := &s.server.slots, &s.server.writer
+	if failure := s.wait(slots.tryAcquire, slots.acquire); failure != nil {
+		return failure
+	}
+	if !write || s.tx.writer {
+		return nil
+	}
+	if writer.tryAcquire() {
+		s.tx.writer = true
+		return nil
+	}
+	slots.release()
+	if failure := s.wait(writer.tryAcquire, writer.acquire); failure != nil {
+		return failure
+	}
+	s.tx.writer = true
+	return s.wait(slots.tryAcquire, slots.acquireNext)
+}
+
+// wait takes a place in one of the server's queues. Answers that are already
+// there are sent before a wait, so that the client learns of them.
+func (s *session) wait(try func() bool, acquire func(context.Context) error) *pgError {
+	if try() {
+		return nil
+	}
+	if err := s.flush(); err != nil {
+		return databaseError(err)
+	}
+	if err := acquire(s.ctx); err != nil {
+		return cancelledError()
+	}
+	return nil
+}
+
+// serviceTime spends the time that the server is set to take for a statement.
+func (s *session) serviceTime() *pgError {
+	if limit := time.Duration(s.server.serviceTime.Load()); limit > 0 {
+		if err := s.flush(); err != nil {
+			return databaseError(err)
+		}
+		waitFor(s.ctx, nil, limit)
+	}
+	if s.ctx.Err() != nil {
+		return cancelledError()
+	}
+	return nil
+}
+
 // fatal answers an error that ends the connection.
 func (s *session) fatal(err *pgError) {
 	err.Severity = "FATAL"
@@ -267,8 +322,14 @@
 func now() string { return time.Now().UTC().Format("2006-01-02 15:04:05.999999") }
 
 // sleep is the SQL function pg_sleep(seconds).
-func (s *session) sleep(seconds float64) (string, error) {
-	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+func (s *session) sleep(seconds any) (string, error) {
+	if s.describing {
+		return "", nil
+	}
+	if err := s.flush(); err != nil {
+		return "", err
+	}
+	timer := time.NewTimer(time.Duration(toFloat(seconds) * float64(time.Second)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/upstream/pgupstream/ledger.go
+++ b/upstream/pgupstream/ledger.go
@@ -83,7 +83,7 @@
 	if err := c.send(r.out); err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdAll, queue: r.queue}
+	a := c.newAnswer(r, sink, holdAll)
 	if err := a.read(); err != nil {
 		return upstream.Result{}, err
 	}
@@ -104,7 +104,7 @@
 // claim inserts the ledger row. Without an error and without Replayed, the id
 // is claimed and the transaction is open.
 func (c *Conn) claim(id, sql string) (upstream.Result, error) {
-	result, err := c.query(sql)
+	result, err := c.claimQuery(sql)
 	if err != nil {
 		return upstream.Result{}, err
 	}
@@ -125,6 +125,19 @@
 	return upstream.Result{}, c.claimRefused(result.failure)
 }
 
+// claimQuery inserts the row. It may wait for another transaction with the same
+// id, so it can be cancelled. If the link breaks, nothing has run: the
+// transaction can't commit, because COMMIT was not sent.
+func (c *Conn) claimQuery(sql string) (*rows, error) {
+	c.enterBatch()
+	result, err := c.query(sql)
+	c.leaveBatch()
+	if err != nil {
+		return nil, unavailable("request ledger: " + err.Error())
+	}
+	return result, nil
+}
+
 // claimRefused reports a claim that failed. Its transaction is rolled back, so
 // the request hasn't run.
 func (c *Conn) claimRefused(failure *fault.Database) error {
@@ -140,7 +153,7 @@
 // readOnlyRefusal tells a server that may not write from a transaction that
 // doesn't want to.
 func (c *Conn) readOnlyRefusal(failure *fault.Database) error {
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return err
 	}
@@ -166,6 +179,10 @@
 // replay returns the stored answer of the transaction that committed with the
 // same id. The status is asked afterwards, so its position covers that commit.
 func (c *Conn) replay(id string) (upstream.Result, error) {
+	before, err := c.askStatus()
+	if err != nil {
+		return upstream.Result{}, err
+	}
 	found, err := c.query("SELECT answer FROM lovageslip_requests WHERE id = " + quote(id))
 	if err != nil {
 		return upstream.Result{}, err
@@ -177,10 +194,13 @@
 		// The row was deleted between the two statements.
 		return upstream.Result{}, &ledgerRetry{}
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
+	if !sameReign(before, after) {
+		return upstream.Result{}, c.unconfirmable()
+	}
 	result := upstream.Result{State: c.state, After: *after, Committed: true, Replayed: true}
 	stored := found.values[0][0]
 	if stored == nil {
@@ -203,12 +223,15 @@
 	if err != nil || claimed.Replayed {
 		return claimed, err
 	}
-	if err := c.send(r.out); err != nil {
+	if err := c.send(append(appendQuery(nil, statusSQL), r.out...)); err != nil {
 		return upstream.Result{}, err
 	}
-	a := &answer{conn: c, sink: sink, hold: holdAll, queue: r.queue}
+	a := c.newAnswer(r, sink, holdAll)
 	c.enterBatch()
-	err = a.read()
+	before, err := c.statusBefore()
+	if err == nil {
+		err = a.read()
+	}
 	c.leaveBatch()
 	if err != nil {
 		return upstream.Result{}, err
@@ -223,11 +246,11 @@
 		// ledger row is part of it.
 		return upstream.Result{State: c.state, DatabaseError: a.failure != nil}, c.finishAnswer(a)
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	return c.endWrite(a, after)
+	return c.endWrite(a, before, after)
 }
 
 // failOnce ends a batch that the database refused: the row goes, and the caller
@@ -236,12 +259,12 @@
 	if err := c.rollback(); err != nil {
 		return upstream.Result{}, err
 	}
-	after, err := c.statusAfter(false)
+	after, err := c.askStatus()
 	if err != nil {
 		return upstream.Result{}, err
 	}
 	a.setFinalState('I')
-	return c.endWrite(a, after)
+	return c.endWrite(a, nil, after)
 }
 
 // commitOnce stores the answer and commits.
@@ -252,16 +275,21 @@
 		stored := base64.StdEncoding.EncodeToString(a.held)
 		sql = "UPDATE lovageslip_requests SET answer = '" + stored + "' WHERE id = " + quote(id) + "; COMMIT"
 	}
-	if err := c.send(appendQuery(appendQuery(nil, sql), statusSQL)); err != nil {
+	out := appendQuery(appendQuery(appendQuery(nil, statusSQL), sql), statusSQL)
+	if err := c.send(out); err != nil {
 		// Without a byte of COMMIT, the transaction can't commit any more, so
 		// the NotRun that send may report is right.
 		return upstream.Result{}, err
 	}
+	before, err := c.statusBefore()
+	if err != nil {
+		return upstream.Result{}, err
+	}
 	result, err := c.readRows()
 	if err != nil {
 		return upstream.Result{}, err
 	}
-	after, err := c.statusAfter(true)
+	after, err := c.statusAfter()
 	if err != nil {
 		return upstream.Result{}, err
 	}
@@ -269,7 +297,7 @@
 		return c.refusedOnce(a, result.failure, after)
 	}
 	a.committed = true
-	return c.endWrite(a, after)
+	return c.endWrite(a, before, after)
 }
 
 // refusedOnce answers the error of the COMMIT in place of the batch's own
@@ -280,7 +308,7 @@
 	}
 	if after == nil {
 		var err error
-		if after, err = c.statusAfter(false); err != nil {
+		if after, err = c.askStatus(); err != nil {
 			return upstream.Result{}, err
 		}
 	}
@@ -288,7 +316,7 @@
 	a.committed = false
 	a.ackAt = -1
 	a.held = errorAnswer(failure)
-	return c.endWrite(a, after)
+	return c.endWrite(a, nil, after)
 }
 
 func errorAnswer(failure *fault.Database) []byte {
