--- /dev/null
+++ b/standin/remote.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// controlPrefix starts the settings that control the server itself, so that a
+// server in another process can be controlled with SET:
+// standin.lag, standin.service_time, standin.connect_delay (durations),
+// standin.slots, standin.max_connections (numbers), standin.replication_broken
+// and standin.frozen (Booleans). Freezing spares the session that sets it.
+const controlPrefix = "standin."
+
+// controlServer applies a control setting. It returns false for other settings.
+func (s *session) controlServer(name, value string) (bool, *pgError) {
+	name = strings.ToLower(name)
+	if !strings.HasPrefix(name, controlPrefix) {
+		return false, nil
+	}
+	switch strings.TrimPrefix(name, controlPrefix) {
+	case "lag":
+		return true, withDuration(name, value, s.server.SetLag)
+	case "service_time":
+		return true, withDuration(name, value, s.server.SetServiceTime)
+	case "connect_delay":
+		return true, withDuration(name, value, s.server.SetConnectDelay)
+	case "slots":
+		return true, withNumber(name, value, s.server.SetSlots)
+	case "max_connections":
+		return true, withNumber(name, value, s.server.SetMaxConnections)
+	case "replication_broken":
+		return true, withBool(name, value, s.server.SetReplicationBroken)
+	case "frozen":
+		return true, withBool(name, value, s.freezeOthers)
+	}
+	return true, unknownSetting(name)
+}
+
+func (s *session) freezeOthers(frozen bool) {
+	s.server.setFrozen(frozen)
+	s.frozen.Store(false)
+}
+
+func badSetting(name, value string) *pgError {
+	return &pgError{Code: codeInvalidParameter, Message: "invalid value for parameter " + name + ": " + strconv.Quote(value)}
+}
+
+func withDuration(name, value string, set func(time.Duration)) *pgError {
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		return badSetting(name, value)
+	}
+	set(d)
+	return nil
+}
+
+func withNumber(name, value string, set func(int)) *pgError {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return badSetting(name, value)
+	}
+	set(n)
+	return nil
+}
+
+func withBool(name, value string, set func(bool)) *pgError {
+	on, failure := decodeTextBool(value)
+	if failure != nil {
+		return badSetting(name, value)
+	}
+	set(on == int64(1))
+	return nil
+}
--- a/standin/replicate_test.go
+++ b/standin/replicate_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -162,3 +163,24 @@
 	server.Unfreeze()
 	<-answered
 }
+
+// Guards against a server in another process that tests can't control.
+func TestControlBySetting(t *testing.T) {
+	servers := group(t, 1, Options{})
+	replica := dial(t, servers[1])
+	run(t, replica, "SET standin.lag = '50ms'")
+	run(t, replica, "SET standin.replication_broken = on")
+	run(t, dial(t, servers[0]), "CREATE TABLE v (id INTEGER PRIMARY KEY)")
+	run(t, replica, "SELECT * FROM lovageslip_wait(1, 1, 30)")
+	assert.Equal(t, servers[1].Status().Offset, upstream.Offset(0))
+	run(t, replica, "SET standin.replication_broken = off")
+	reaches(t, servers[1], servers[0].Status().Position())
+	other := dial(t, servers[1])
+	run(t, replica, "SET standin.frozen = on")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := other.Exec(ctx, "SELECT 1")
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	run(t, replica, "SELECT 1")
+	expectCode(t, replica, "22023", "SET standin.slots = 'many'")
+}
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -155,6 +155,9 @@
 
 // change sets a setting and reports it if its value is reported.
 func (s *session) change(name, value string) *pgError {
+	if applied, failure := s.controlServer(name, value); applied {
+		return failure
+	}
 	before := s.settings.show(name)
 	if failure := s.settings.set(name, value); failure != nil {
 		return failure
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -242,9 +242,7 @@
 // SetReplicationBroken cuts the link to this replica's primary, or heals it.
 func (s *Server) SetReplicationBroken(broken bool) {
 	s.linkBroken.Store(broken)
-	if broken {
-		s.state.dropLink()
-	}
+	s.state.dropLink()
 }
 
 // Freeze makes the sessions that are open now stop answering, while new ones
