--- a/caller/pgcaller/settings_test.go
+++ b/caller/pgcaller/settings_test.go
@@ -119,11 +119,14 @@
 		assert.NilError(t, err)
 		assert.Equal(t, string(answer), "N")
 	}
+	// libpq accepts no parameter report before AuthenticationOk.
 	frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion32,
-		Parameters: map[string]string{"user": "app", "database": "shop", "_pq_.new": "1"}})
+		Parameters: map[string]string{"user": "app", "database": "shop", "_pq_.new": "1", "application_name": "psql", "lovageslip.class": "report"}})
 	assert.NilError(t, frontend.Flush())
-	negotiated := until[*pgproto3.NegotiateProtocolVersion](t, frontend)
-	assert.DeepEqual(t, negotiated.UnrecognizedOptions, []string{"_pq_.new"})
+	negotiated, err := frontend.Receive()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, negotiated.(*pgproto3.NegotiateProtocolVersion).UnrecognizedOptions, []string{"_pq_.new"})
+	receiveTypes(t, frontend, []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}})
 	until[*pgproto3.ReadyForQuery](t, frontend)
 }
 
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -82,6 +82,9 @@
 		a.entry.router.Stale(a.chosen.Upstream.Name, a.asked)
 	}
 	next := remedies[refused.Reason]
+	if next == giveUp {
+		return false
+	}
 	nothingSent := a.chosen.Upstream.Name == ""
 	if nothingSent {
 		return a.awaitUpstream(ctx, refused, changed)
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -40,6 +40,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer // guarded by mu, by address
+	swept time.Time        // guarded by mu
 }
 
 // NewClient returns a client.
@@ -65,7 +66,7 @@
 	return &clientStream{peer: c.peer(address), open: open}, nil
 }
 
-// Close ends all idle streams.
+// Close ends the idle streams.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,9 +84,26 @@
 		p = &peer{service: c.service(address)}
 		c.peers[address] = p
 	}
+	p.used = now()
+	c.sweep(p.used)
 	return p
 }
 
+// sweep ends streams that have been idle for long, and forgets owners that are
+// not used any more. The caller holds mu.
+func (c *Client) sweep(at time.Time) {
+	if at.Sub(c.swept) < maxLinkIdle {
+		return
+	}
+	c.swept = at
+	since := at.Add(-maxLinkIdle)
+	for address, p := range c.peers {
+		if p.expire(since) == 0 && p.used.Before(since) {
+			delete(c.peers, address)
+		}
+	}
+}
+
 func (c *Client) service(address string) lovageslipv1connect.ExchangeServiceClient {
 	// Answers are compressed by nothing: the hop is inside a data centre.
 	noCompression := connect.WithAcceptCompression("gzip", nil, nil)
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 // peer is one owner process.
 type peer struct {
 	service lovageslipv1connect.ExchangeServiceClient
+	used    time.Time // guarded by Client.mu
 
 	mu   sync.Mutex
 	idle []*link // guarded by mu, the last used one last
@@ -71,25 +73,34 @@
 
 func (p *peer) put(link *link) {
 	link.idleSince = now()
-	for _, old := range p.keep(link) {
-		old.close()
+	if !p.keep(link) {
+		link.close()
 	}
 }
 
-// keep adds an idle link and returns those to close.
-func (p *peer) keep(used *link) []*link {
+func (p *peer) keep(link *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) >= maxIdleLinks {
-		return []*link{used}
+		return false
 	}
-	p.idle = append(p.idle, used)
-	if used.idleSince.Sub(p.idle[0].idleSince) < maxLinkIdle {
-		return nil
+	p.idle = append(p.idle, link)
+	return true
+}
+
+// expire ends the links that have been idle since a time and returns how many
+// are left.
+func (p *peer) expire(since time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The links are in the order of their last use.
+	old := 0
+	for old < len(p.idle) && p.idle[old].idleSince.Before(since) {
+		p.idle[old].close()
+		old++
 	}
-	oldest := p.idle[0]
-	p.idle = append(p.idle[:0], p.idle[1:]...)
-	return []*link{oldest}
+	p.idle = slices.Delete(p.idle, 0, old)
+	return len(p.idle)
 }
 
 func (p *peer) closeIdle() {
