Refuse session-wide set_config; report cancelled requests as cancelled; document callers' view

A request that was cancelled while it waited for a primary got the reason no_upstream. set_config without its third argument set would have changed a shared connection. reads_routed_total counts where reads are sent.

--- a/caller/pgcaller/settings_test.go
+++ b/caller/pgcaller/settings_test.go
@@ -90,7 +90,7 @@
 		"listen x", "unlisten *", "notify x", "copy t from stdin", "create temp table t (a int)",
 		"CREATE TEMPORARY VIEW v as select 1", "create local temp table t (a int)", "select pg_advisory_lock(1)",
 		"select PG_TRY_ADVISORY_LOCK(1)", "declare c cursor with hold for select 1", "prepare p as select 1",
-		"select 1 into temp t", "select 1; listen x", "discard temp",
+		"select 1 into temp t", "select 1; listen x", "discard temp", "select set_config('a.b', 'true', false)",
 	} {
 		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement} {
 			_, err := c.Exec(t.Context(), text, mode)
@@ -100,7 +100,8 @@
 	assert.Equal(t, len(owner.texts()), 0)
 	for _, text := range []string{
 		"select 'into temp pg_advisory_lock('", "select pg_advisory_xact_lock(1)", "declare c cursor for select 'with hold'",
-		"insert into t values ('; listen x')", "create table temporary_things (a int)", "select $$; notify x$$",
+		"insert into t values ('; listen x')", "create table temporary_things (a int)",
+		"select set_config('a.b', 'false', true)", `select E'it\'s; listen x'`, "select $$; notify x$$",
 	} {
 		_, err := c.Exec(t.Context(), text, pgx.QueryExecModeSimpleProtocol)
 		assert.NilError(t, err, text)
--- a/caller/pgcaller/unsupported.go
+++ b/caller/pgcaller/unsupported.go
@@ -1,6 +1,7 @@
 package pgcaller
 
 import (
+	"regexp"
 	"slices"
 	"strings"
 
@@ -31,6 +32,9 @@
 	if lock := sessionLock(text); lock != "" {
 		return &fault.Unsupported{Feature: "the session lock " + lock}
 	}
+	if setsSession(text) {
+		return &fault.Unsupported{Feature: "set_config for the session (its third argument must be true)"}
+	}
 	if !severalStatements(text) {
 		return refuseOne(text)
 	}
@@ -132,6 +136,22 @@
 	return ""
 }
 
+const setConfig = "set_config"
+
+// localSetConfig matches a set_config whose change ends with the transaction.
+var localSetConfig = regexp.MustCompile(`(?i)set_config\s*\([^()]*,\s*true\s*\)`)
+
+// setsSession reports whether a text calls set_config in a way that may outlive
+// its transaction.
+func setsSession(text string) bool {
+	if !containsFold(text, setConfig) {
+		return false
+	}
+	plain := withoutLiterals(text)
+	calls := strings.Count(strings.ToLower(plain), setConfig)
+	return calls > len(localSetConfig.FindAllString(plain, -1))
+}
+
 // containsFold reports whether text contains a lower-case ASCII word in any case.
 func containsFold(text, word string) bool {
 	first := word[0]
@@ -164,6 +184,8 @@
 // literal returns the length of the literal or comment that begins the text.
 func literal(text string) int {
 	switch {
+	case len(text) > 1 && text[0]|0x20 == 'e' && text[1] == '\'':
+		return escapeString(text)
 	case text[0] == '\'' || text[0] == '"':
 		return upTo(text, 1, text[:1])
 	case strings.HasPrefix(text, "--"):
@@ -184,6 +206,19 @@
 	return from + i + len(end)
 }
 
+// escapeString measures E'...', in which a backslash keeps the next byte.
+func escapeString(text string) int {
+	for i := 2; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '\'':
+			return i + 1
+		}
+	}
+	return len(text)
+}
+
 // dollarQuoted measures "$tag$ ... $tag$"; a parameter such as $1 is none.
 func dollarQuoted(text string) int {
 	end := strings.IndexByte(text[1:], '$')
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -62,7 +62,7 @@
 			return done, nil
 		}
 		if !a.again(ctx, err, changed) {
-			return exchange.Done{}, a.entry.final(a.cause(err), a.class.Name, a.class.Wait)
+			return exchange.Done{}, a.entry.final(a.cause(ctx, err), a.class.Name, a.class.Wait)
 		}
 		a.tries++
 	}
@@ -71,10 +71,13 @@
 // cause returns the error for the caller. Once a try had an unknown outcome, a
 // later refusal does not prove that the request did not run. Otherwise an
 // owner's refusal says more than the fact that no upstream is left.
-func (a *attempt) cause(err error) error {
+func (a *attempt) cause(ctx context.Context, err error) error {
 	if a.unknown != nil && reasonOf(err) != fault.ReasonAlreadyCommitted {
 		return a.unknown
 	}
+	if ctx.Err() != nil && isNotRun(err) {
+		return cancelled()
+	}
 	if a.refusal != nil && reasonOf(err) == fault.ReasonNoUpstream {
 		return a.refusal
 	}
@@ -132,7 +135,7 @@
 }
 
 func cancelled() error {
-	return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: "cancelled before the request was sent"}
+	return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: "cancelled before the request ran"}
 }
 
 func (a *attempt) open(view *registry.View) exchange.Open {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -278,7 +278,7 @@
 	assert.Equal(t, reasonOf(t, err), fault.ReasonCancelled)
 	h.directory.replace(view(2, ""))
 	begun := time.Now()
-	assert.Assert(t, runAndCancel(t, s, s.Running) != nil)
+	assert.Equal(t, reasonOf(t, runAndCancel(t, s, s.Running)), fault.ReasonCancelled)
 	assert.Assert(t, time.Since(begun) < 2*time.Second)
 }
 
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -207,6 +207,11 @@
 	return true
 }
 
+func isNotRun(err error) bool {
+	var notRun *fault.NotRun
+	return errors.As(err, &notRun)
+}
+
 func reasonOf(err error) fault.Reason {
 	var notRun *fault.NotRun
 	if errors.As(err, &notRun) {
--- a/entry/session.go
+++ b/entry/session.go
@@ -42,7 +42,7 @@
 func (s *Session) SetClass(name string) error {
 	view, err := s.entry.view()
 	if err != nil {
-		return s.entry.final(err, name, 0)
+		return s.entry.final(err, "", 0)
 	}
 	if _, err := classOf(view, name); err != nil {
 		return err
--- a/route/route.go
+++ b/route/route.go
@@ -16,7 +16,6 @@
 	"lovageslip/class"
 	"lovageslip/exchange"
 	"lovageslip/fault"
-	"lovageslip/logging"
 	"lovageslip/metrics"
 	"lovageslip/registry"
 	"lovageslip/upstream"
@@ -26,9 +25,10 @@
 type Options struct {
 	// DataCentre is the data centre of this host.
 	DataCentre string
-	Log        *slog.Logger
-	Metrics    tally.Scope
-	Now        func() time.Time
+	// Log takes no messages yet.
+	Log     *slog.Logger
+	Metrics tally.Scope
+	Now     func() time.Time
 }
 
 // Request is what the choice for one request depends on.
@@ -59,10 +59,11 @@
 // Router chooses upstreams. It is safe for concurrent use.
 type Router struct {
 	dataCentre string
-	log        *slog.Logger
-	metrics    tally.Scope
 	now        func() time.Time
-	index      atomic.Pointer[index]
+	// onReplica and onPrimary count where reads were sent.
+	onReplica, onPrimary tally.Counter
+
+	index atomic.Pointer[index]
 
 	mu     sync.Mutex
 	states map[string]*state // guarded by mu, by upstream
@@ -75,13 +76,17 @@
 	}
 	return &Router{
 		dataCentre: options.DataCentre,
-		log:        logging.For(options.Log, "route"),
-		metrics:    metrics.OrNoop(options.Metrics),
 		now:        options.Now,
+		onReplica:  readsOn(options.Metrics, "replica"),
+		onPrimary:  readsOn(options.Metrics, "primary"),
 		states:     make(map[string]*state),
 	}
 }
 
+func readsOn(scope tally.Scope, role string) tally.Counter {
+	return metrics.OrNoop(scope).Tagged(map[string]string{"role": role}).Counter("reads_routed_total")
+}
+
 // index lists the upstreams of each database of one view.
 type index struct {
 	view       *registry.View
@@ -135,7 +140,19 @@
 			best.offer(r.candidate(u, request, false))
 		}
 	}
-	return choose(best, fallback, request)
+	choice, err := choose(best, fallback, request)
+	if err == nil && request.Mode == upstream.ModeRead {
+		r.count(choice)
+	}
+	return choice, err
+}
+
+func (r *Router) count(choice Choice) {
+	if choice.Primary {
+		r.onPrimary.Inc(1)
+		return
+	}
+	r.onReplica.Inc(1)
 }
 
 func usable(u registry.Upstream, exclude []string) bool {
