--- a/cmd/lovageslip/main.go
+++ b/cmd/lovageslip/main.go
@@ -46,6 +46,7 @@
 	Status  statusCommand  `cmd:"" help:"Show hosts, upstreams, owners and groups."`
 	History historyCommand `cmd:"" help:"Show accepted changes, newest first."`
 	Member  memberCommand  `cmd:"" help:"List, add and remove control hosts."`
+	Load    loadCommand    `cmd:"" help:"Run an open-loop load and print the waits that callers saw."`
 }
 
 func main() {
--- a/cmd/lovageslip/operate.go
+++ b/cmd/lovageslip/operate.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return admin.New(tlsconf.HTTPClient(config), f.Control), nil
+	return admin.New(tlsconf.HTTPClient(config, nil), f.Control), nil
 }
 
 func printJSON(m proto.Message) error {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -34,7 +34,7 @@
 	}
 	defer listener.Close()
 
-	client := tlsconf.HTTPClient(hostTLS.client)
+	client := tlsconf.HTTPClient(hostTLS.client, nil)
 	state := controlstate.New(controlstate.Options{Log: log, Metrics: scope})
 	node, err := consensus.Start(ctx, consensus.Options{
 		Name:           s.Name,
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -132,7 +132,7 @@
 func setUpDev(ctx context.Context, o DevOptions) error {
 	ctx, cancel := context.WithTimeout(ctx, devSetupTimeout)
 	defer cancel()
-	client := admin.New(tlsconf.HTTPClient(nil), []string{o.Control})
+	client := admin.New(tlsconf.HTTPClient(nil, nil), []string{o.Control})
 	for _, one := range DevClasses() {
 		change := admin.Change{ChangeID: devChangeIDPrefix + one.Name, Class: one, Operator: "dev"}
 		if err := untilDone(ctx, func() error { _, err := client.ChangeClass(ctx, change); return err }); err != nil {
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -83,11 +83,15 @@
 	if err != nil {
 		return nil, err
 	}
-	httpClient := tlsconf.HTTPClient(hosts.client)
+	httpClient := tlsconf.HTTPClient(hosts.client, nil)
+	control := scope.SubScope("control")
+	controlClient := tlsconf.HTTPClient(hosts.client, &tlsconf.Meter{
+		Sent: control.Counter("sent_bytes_total"), Received: control.Counter("received_bytes_total"),
+	})
 	p := &proxy{settings: s, log: logging.For(log, "daemon"), scope: scope}
 	p.agent = member.New(member.Options{
 		Log: log, Metrics: scope, Control: s.Control, Name: s.Name, Address: s.Advertise,
-		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: httpClient,
+		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: controlClient,
 	})
 	p.owner = owner.New(owner.Options{
 		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -154,7 +154,7 @@
 		s.controls = append(s.controls, s.newControl(i, strings.Join(members, ", ")))
 		s.controls[i].start()
 	}
-	s.admin = admin.New(tlsconf.HTTPClient(nil), s.direct)
+	s.admin = admin.New(tlsconf.HTTPClient(nil, nil), s.direct)
 }
 
 func (s *site) newControl(i int, members string) *process {
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -4,6 +4,7 @@
 package tlsconf
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"net"
@@ -107,16 +108,33 @@
 	}
 }
 
+// Meter counts the bytes of connections. It is safe for concurrent use.
+type Meter struct {
+	Sent, Received Counter
+}
+
+// Counter is the part of a tally counter that a Meter needs.
+type Counter interface {
+	Inc(delta int64)
+}
+
 // HTTPClient returns a client for connections to other hosts. A nil config
 // means plaintext; otherwise every request goes over TLS, whatever the scheme
-// of its URL, so that no part can send plaintext by mistake.
-func HTTPClient(config *tls.Config) *http.Client {
+// of its URL, so that no part can send plaintext by mistake. A nil meter counts
+// nothing.
+func HTTPClient(config *tls.Config, meter *Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		TLSClientConfig: config,
 		Protocols:       Protocols(config != nil, false),
 		HTTP2:           HTTP2(),
-		DialContext:     dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil || meter == nil {
+				return conn, err
+			}
+			return &meteredConn{Conn: conn, meter: meter}, nil
+		},
 	}
 	if config == nil {
 		return &http.Client{Transport: transport}
@@ -124,6 +142,23 @@
 	return &http.Client{Transport: &secureTransport{next: transport}}
 }
 
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.Received.Inc(int64(n))
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.Sent.Inc(int64(n))
+	return n, err
+}
+
 type secureTransport struct {
 	next http.RoundTripper
 }
