--- a/control/agent_test.go
+++ b/control/agent_test.go
@@ -76,7 +76,7 @@
 	far := startAgent(t, "p1", c.nodes[0].address)
 	c.nodes[0].announce(t, announcement("u1", "visayas"))
 	waitFor(t, "first lease", func() bool { _, ok := far.Lease("u1"); return ok })
-	near := startAgentIn(t, "p2", "visayas", c.nodes[0].address)
+	near := startAgentWith(t, "p2", "visayas", nil, c.nodes[0].address)
 	waitFor(t, "lease of the near host", func() bool {
 		_, first := far.Lease("u1")
 		_, second := near.Lease("u1")
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -150,14 +150,14 @@
 
 func startAgent(t testing.TB, name string, addresses ...string) *member.Agent {
 	t.Helper()
-	return startAgentIn(t, name, "luzon", addresses...)
+	return startAgentWith(t, name, "luzon", nil, addresses...)
 }
 
-func startAgentIn(t testing.TB, name, dataCentre string, addresses ...string) *member.Agent {
+func startAgentWith(t testing.TB, name, dataCentre string, health member.HealthSource, addresses ...string) *member.Agent {
 	t.Helper()
 	httpClient := controlclient.NewHTTPClient()
 	agent := member.New(member.Options{
-		Control: addresses, Name: name, Address: "127.0.0.1:7001", DataCentre: dataCentre, HTTPClient: httpClient,
+		Control: addresses, Name: name, Address: "127.0.0.1:7001", DataCentre: dataCentre, HTTPClient: httpClient, Health: health,
 		Timing: member.Timing{Heartbeat: 50 * time.Millisecond, Silence: time.Second, Behind: 300 * time.Millisecond},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
