--- a/caller/pgcaller/fake_test.go
+++ b/caller/pgcaller/fake_test.go
@@ -58,6 +58,11 @@
 	// answer overrides the answer to a text; it returns false for the default.
 	answer func(ctx context.Context, text string, sink upstream.Sink) (handled bool, err error)
 
+	// forgetful keeps no record, for long benchmarks.
+	forgetful bool
+	// skipReady leaves ReadyForQuery to answer.
+	skipReady bool
+
 	mu        sync.Mutex
 	executed  []execution // guarded by mu
 	closed    int         // guarded by mu
@@ -180,6 +185,9 @@
 }
 
 func (r *fakeRun) ready() {
+	if r.stream.owner.skipReady {
+		return
+	}
 	status := map[upstream.TransactionState]byte{upstream.StateIdle: 'I', upstream.StateOpen: 'T', upstream.StateFailed: 'E'}
 	r.send(&pgproto3.ReadyForQuery{TxStatus: status[r.stream.state]})
 }
@@ -187,7 +195,9 @@
 func (r *fakeRun) execute(text string, simple bool) error {
 	o := r.stream.owner
 	o.mu.Lock()
-	o.executed = append(o.executed, execution{text: text, mode: r.batch.Mode, requestID: r.batch.RequestID, stream: r.stream})
+	if !o.forgetful {
+		o.executed = append(o.executed, execution{text: text, mode: r.batch.Mode, requestID: r.batch.RequestID, stream: r.stream})
+	}
 	o.mu.Unlock()
 	if o.answer != nil {
 		handled, err := o.answer(r.ctx, text, func(chunk []byte) error {
@@ -261,18 +271,25 @@
 
 // startRemote starts a proxy whose owner is behind the connect-go transport.
 func startRemote(t testing.TB, owner *fakeOwner) *host {
+	t.Helper()
+	address := serveHTTP(t, func() (string, http.Handler) { return exchange.NewServer(owner) })
+	client := exchange.NewClient(exchange.ClientOptions{})
+	t.Cleanup(client.Close)
+	return start(t, owner, client, address)
+}
+
+// serveHTTP serves a handler to other hosts and returns its address.
+func serveHTTP(t testing.TB, handler func() (string, http.Handler)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	mux := http.NewServeMux()
-	mux.Handle(exchange.NewServer(owner))
+	mux.Handle(handler())
 	server := &http.Server{Handler: mux}
 	exchange.ConfigureServer(server)
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
-	client := exchange.NewClient(exchange.ClientOptions{})
-	t.Cleanup(client.Close)
-	return start(t, owner, client, listener.Addr().String())
+	return listener.Addr().String()
 }
 
 func start(t testing.TB, owner *fakeOwner, gateway exchange.Gateway, address string, change ...func(*pgcaller.Options)) *host {
