Forward cancel requests to the proxy that issued the key

Behind a balancer a cancel request arrives at any proxy. The key names its host by a hash; the receiving proxy passes the request on to the hosts with that hash. Ruled out: asking every proxy, which at 780 hosts costs as many calls for each cancel.

--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -17,6 +17,7 @@
 	"lovageslip/exchange"
 	"lovageslip/fault"
 	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/logging"
 	"lovageslip/member"
 	"lovageslip/metrics"
@@ -106,7 +107,7 @@
 			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
 			HostName: s.Name, DataCentre: s.DataCentre, Log: log, Metrics: scope,
 		}),
-		TLS: callerTLS, Log: log, Metrics: scope,
+		TLS: callerTLS, ForwardCancel: forwardCancel(p.agent, httpClient), Log: log, Metrics: scope,
 	})
 	return p, nil
 }
@@ -146,6 +147,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(p.exchanges.Handler())
 	mux.Handle(p.agent.AnnounceHandler())
+	mux.Handle(lovageslipv1connect.NewCallerServiceHandler(&cancelService{proxy: p}))
 
 	// The parts outlive ctx: they stop only after the shutdown has let
 	// everything in flight finish.
--- a/gen/lovageslip/v1/lovageslipv1connect/exchange.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/exchange.connect.go
@@ -23,6 +23,8 @@
 const (
 	// ExchangeServiceName is the fully-qualified name of the ExchangeService service.
 	ExchangeServiceName = "lovageslip.v1.ExchangeService"
+	// CallerServiceName is the fully-qualified name of the CallerService service.
+	CallerServiceName = "lovageslip.v1.CallerService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -35,6 +37,9 @@
 const (
 	// ExchangeServiceRunProcedure is the fully-qualified name of the ExchangeService's Run RPC.
 	ExchangeServiceRunProcedure = "/lovageslip.v1.ExchangeService/Run"
+	// CallerServiceCancelRequestProcedure is the fully-qualified name of the CallerService's
+	// CancelRequest RPC.
+	CallerServiceCancelRequestProcedure = "/lovageslip.v1.CallerService/CancelRequest"
 )
 
 // ExchangeServiceClient is a client for the lovageslip.v1.ExchangeService service.
@@ -114,3 +119,77 @@
 func (UnimplementedExchangeServiceHandler) Run(context.Context, *connect.BidiStream[v1.RunRequest, v1.RunResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.ExchangeService.Run is not implemented"))
 }
+
+// CallerServiceClient is a client for the lovageslip.v1.CallerService service.
+type CallerServiceClient interface {
+	// CancelRequest cancels what the caller with this key is running, if the
+	// host issued the key.
+	CancelRequest(context.Context, *connect.Request[v1.CancelCallerRequest]) (*connect.Response[v1.CancelCallerResponse], error)
+}
+
+// NewCallerServiceClient constructs a client for the lovageslip.v1.CallerService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCallerServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CallerServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	callerServiceMethods := v1.File_lovageslip_v1_exchange_proto.Services().ByName("CallerService").Methods()
+	return &callerServiceClient{
+		cancelRequest: connect.NewClient[v1.CancelCallerRequest, v1.CancelCallerResponse](
+			httpClient,
+			baseURL+CallerServiceCancelRequestProcedure,
+			connect.WithSchema(callerServiceMethods.ByName("CancelRequest")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// callerServiceClient implements CallerServiceClient.
+type callerServiceClient struct {
+	cancelRequest *connect.Client[v1.CancelCallerRequest, v1.CancelCallerResponse]
+}
+
+// CancelRequest calls lovageslip.v1.CallerService.CancelRequest.
+func (c *callerServiceClient) CancelRequest(ctx context.Context, req *connect.Request[v1.CancelCallerRequest]) (*connect.Response[v1.CancelCallerResponse], error) {
+	return c.cancelRequest.CallUnary(ctx, req)
+}
+
+// CallerServiceHandler is an implementation of the lovageslip.v1.CallerService service.
+type CallerServiceHandler interface {
+	// CancelRequest cancels what the caller with this key is running, if the
+	// host issued the key.
+	CancelRequest(context.Context, *connect.Request[v1.CancelCallerRequest]) (*connect.Response[v1.CancelCallerResponse], error)
+}
+
+// NewCallerServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCallerServiceHandler(svc CallerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	callerServiceMethods := v1.File_lovageslip_v1_exchange_proto.Services().ByName("CallerService").Methods()
+	callerServiceCancelRequestHandler := connect.NewUnaryHandler(
+		CallerServiceCancelRequestProcedure,
+		svc.CancelRequest,
+		connect.WithSchema(callerServiceMethods.ByName("CancelRequest")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/lovageslip.v1.CallerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CallerServiceCancelRequestProcedure:
+			callerServiceCancelRequestHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCallerServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCallerServiceHandler struct{}
+
+func (UnimplementedCallerServiceHandler) CancelRequest(context.Context, *connect.Request[v1.CancelCallerRequest]) (*connect.Response[v1.CancelCallerResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.CallerService.CancelRequest is not implemented"))
+}
