--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -17,6 +17,7 @@
 	"lovageslip/exchange"
 	"lovageslip/fault"
 	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/logging"
 	"lovageslip/member"
 	"lovageslip/metrics"
@@ -83,11 +84,15 @@
 	if err != nil {
 		return nil, err
 	}
-	httpClient := tlsconf.HTTPClient(hosts.client)
+	httpClient := tlsconf.HTTPClient(hosts.client, nil)
+	control := scope.SubScope("control")
+	controlClient := tlsconf.HTTPClient(hosts.client, &tlsconf.Meter{
+		Sent: control.Counter("sent_bytes_total"), Received: control.Counter("received_bytes_total"),
+	})
 	p := &proxy{settings: s, log: logging.For(log, "daemon"), scope: scope}
 	p.agent = member.New(member.Options{
 		Log: log, Metrics: scope, Control: s.Control, Name: s.Name, Address: s.Advertise,
-		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: httpClient,
+		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: controlClient,
 	})
 	p.owner = owner.New(owner.Options{
 		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
@@ -102,7 +107,7 @@
 			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
 			HostName: s.Name, DataCentre: s.DataCentre, Log: log, Metrics: scope,
 		}),
-		TLS: callerTLS, Log: log, Metrics: scope,
+		TLS: callerTLS, ForwardCancel: forwardCancel(p.agent, httpClient), Log: log, Metrics: scope,
 	})
 	return p, nil
 }
@@ -142,6 +147,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(p.exchanges.Handler())
 	mux.Handle(p.agent.AnnounceHandler())
+	mux.Handle(lovageslipv1connect.NewCallerServiceHandler(&cancelService{proxy: p}))
 
 	// The parts outlive ctx: they stop only after the shutdown has let
 	// everything in flight finish.
