--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -63,6 +64,7 @@
 	mu    sync.Mutex
 	cut   map[string]bool // requests to this address are lost
 	deaf  map[string]bool // answers from this address are lost
+	reset map[string]bool // connections to this address break before the answer
 }
 
 func newLink() *link {
@@ -70,6 +72,7 @@
 		inner: NewHTTPClient().Transport,
 		cut:   make(map[string]bool),
 		deaf:  make(map[string]bool),
+		reset: make(map[string]bool),
 	}
 }
 
@@ -86,6 +89,10 @@
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
+	if err == nil && l.lost(l.reset, request.URL.Host) {
+		response.Body.Close()
+		return nil, io.ErrUnexpectedEOF
+	}
 	return response, err
 }
 
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -50,10 +50,10 @@
 	return f.File.Sync()
 }
 
-func campaigns(scope tally.TestScope, name string) int64 {
-	for _, counter := range scope.Snapshot().Counters() {
-		if counter.Name() == "consensus."+name {
-			return counter.Value()
+func counter(scope tally.TestScope, name string) int64 {
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == "consensus."+name {
+			return c.Value()
 		}
 	}
 	return 0
@@ -68,6 +68,10 @@
 	wiped.stop()
 	wiped.wipe()
 	wiped.start()
+	waitFor(t, "the wiped host to hold the entries", func() bool {
+		value, _ := wiped.state.read()
+		return value == 11
+	})
 
 	wipedHostGivesNoVote(t, c, a, b)
 
@@ -92,8 +96,10 @@
 	scope := tally.NewTestScope("", nil)
 	a.options.Metrics = scope
 	a.start()
-	waitFor(t, "several campaigns", func() bool { return campaigns(scope, "campaigns_total") >= 4 })
-	assert.Equal(t, campaigns(scope, "elections_won_total"), int64(0))
+	waitFor(t, "several campaigns", func() bool { return counter(scope, "campaigns_total") >= 4 })
+	assert.Equal(t, counter(scope, "elections_won_total"), int64(0))
+	_, ok := c.host("c").node.Leadership()
+	assert.Check(t, !ok)
 	b.start()
 	c.leader(a, b)
 }
--- a/consensus/failover_test.go
+++ b/consensus/failover_test.go
@@ -105,13 +105,17 @@
 	leader := c.leader()
 	follower := c.others(leader)[0]
 	follower.readsBack(0)
-	follower.link.set(follower.link.deaf, leader.address, true)
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	_, err := follower.node.Propose(ctx, number(8))
-	var outcome *fault.OutcomeUnknown
-	assert.Check(t, errors.As(err, &outcome), "%v", err)
-	leader.readsBack(8)
+	losses := []map[string]bool{follower.link.deaf, follower.link.reset}
+	for i, loss := range losses {
+		follower.link.set(loss, leader.address, true)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err := follower.node.Propose(ctx, number(uint64(i)))
+		var outcome *fault.OutcomeUnknown
+		assert.Check(t, errors.As(err, &outcome), "%v", err)
+		follower.link.set(loss, leader.address, false)
+		leader.readsBack(uint64(i))
+	}
 }
 
 // Guards against a vote within the lease that this host's answer renewed
@@ -142,6 +146,9 @@
 	proposeMany(t, c.leader(), total)
 	last := c.leader()
 	last.propose(42)
+	last.node.mu.Lock()
+	assert.Check(t, last.node.log.baseIndex >= 1000, "log starts at %d", last.node.log.baseIndex)
+	last.node.mu.Unlock()
 	away.start()
 	away.readsBack(42)
 	for _, h := range c.hosts {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+// Guards against cutting off an acknowledged record that was overwritten by the
+// start of a longer one.
+func TestOverwrittenAcknowledgedRecordIsReported(t *testing.T) {
+	dir := filled(t, 20)
+	name := lastSegment(t, dir)
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	last := numbered(20)
+	last.Seq = 20
+	start := len(data) - len(appendRecord(nil, last))
+	last.Data = make([]byte, 1000)
+	copy(data[start:], appendRecord(nil, last))
+	assert.NilError(t, os.WriteFile(name, data, fileMode))
+	_, err = reopen(t, dir)
+	assert.Equal(t, isDamaged(t, err, name).Offset, int64(start))
+}
+
 // Guards against a log that is taken for a new one when files are gone.
 func TestMissingSegmentIsReported(t *testing.T) {
 	// The first one may be missing: it is removed after a snapshot.
