--- a/control/controlclient/client.go
+++ b/control/controlclient/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -50,20 +51,53 @@
 // send it again.
 type Unavailable struct {
 	Detail string
-	Err    error
+	// RetryAfter is when to come back; zero if unknown.
+	RetryAfter time.Duration
+	Err        error
 }
 
 func (e *Unavailable) Error() string { return "control unavailable: " + e.Detail }
 
 func (e *Unavailable) Unwrap() error { return e.Err }
 
+// retryAfterHeader says after how many milliseconds to come back.
+const retryAfterHeader = "Lovageslip-Retry-After-Ms"
+
 // ToConnect maps an error to the wire.
 func ToConnect(err error) error {
 	var ready *connect.Error
 	if err == nil || errors.As(err, &ready) {
 		return err
 	}
-	return connect.NewError(code(err), err)
+	mapped := connect.NewError(code(err), err)
+	if after := retryAfter(err); after > 0 {
+		mapped.Meta().Set(retryAfterHeader, strconv.FormatInt(after.Milliseconds(), 10))
+	}
+	return mapped
+}
+
+func retryAfter(err error) time.Duration {
+	var notRun *fault.NotRun
+	var unavailable *Unavailable
+	switch {
+	case errors.As(err, &notRun):
+		return notRun.RetryAfter
+	case errors.As(err, &unavailable):
+		return unavailable.RetryAfter
+	}
+	return 0
+}
+
+func sentRetryAfter(err error) time.Duration {
+	var received *connect.Error
+	if !errors.As(err, &received) {
+		return 0
+	}
+	after, parseErr := strconv.ParseInt(received.Meta().Get(retryAfterHeader), 10, 64)
+	if parseErr != nil {
+		return 0
+	}
+	return time.Duration(after) * time.Millisecond
 }
 
 func code(err error) connect.Code {
@@ -89,5 +123,5 @@
 	case connect.CodeAborted:
 		return &fault.OutcomeUnknown{Reason: fault.ReasonOutcomeUnknown, Detail: err.Error(), Err: err}
 	}
-	return &Unavailable{Detail: err.Error(), Err: err}
+	return &Unavailable{Detail: err.Error(), RetryAfter: sentRetryAfter(err), Err: err}
 }
--- a/failover/detect.go
+++ b/failover/detect.go
@@ -19,7 +19,7 @@
 )
 
 // decideLoss judges whether the primary may be lost, from reports alone.
-func (s *Supervisor) decideLoss(g *pb.Group, w groupFacts, now time.Time) action {
+func (s *Supervisor) decideLoss(g *pb.Group, w groupFacts, now time.Time) func(context.Context) error {
 	reason := s.suspicion(g, w, now)
 	if reason == "" {
 		return nil
--- a/failover/errors.go
+++ b/failover/errors.go
@@ -13,6 +13,15 @@
 	return fmt.Sprintf("database %s: %d members answered, %d are needed", e.Database, e.Answered, e.Needed)
 }
 
+// NoPrimary reports that no upstream of a new group leads yet.
+type NoPrimary struct {
+	Database string
+}
+
+func (e *NoPrimary) Error() string {
+	return "database " + e.Database + ": no upstream leads yet"
+}
+
 // FalseAlarm reports that the leader reached a primary that its owner reports
 // as unreachable.
 type FalseAlarm struct {
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -164,30 +164,46 @@
 	frame := s.journal.Frame()
 	now := s.now()
 	for _, g := range frame.Groups {
-		w, idle := s.observe(g, now)
-		if !idle {
+		facts, busy := s.observe(g, now)
+		if busy {
 			continue
 		}
-		if act := s.decide(frame, g, w, now); act != nil {
-			s.start(ctx, w.watch, act)
+		todo, due := s.decide(frame, g, facts, now)
+		if due && facts.mayTry(todo.kind, now) {
+			s.start(ctx, facts.watch, todo)
 		}
 	}
 }
 
+// kind names what an action is for. A failed action delays only actions of its
+// kind, so that a lost primary never waits for less urgent work.
+type kind string
+
+const (
+	kindChange  kind = "change"
+	kindFirst   kind = "first_primary"
+	kindLoss    kind = "loss"
+	kindRepair  kind = "repair"
+	kindMembers kind = "members"
+)
+
 // action is one attempt at what a group needs.
-type action func(context.Context) error
+type action struct {
+	kind kind
+	act  func(context.Context) error
+}
 
-func (s *Supervisor) start(ctx context.Context, w *groupWatch, act action) {
+func (s *Supervisor) start(ctx context.Context, w *groupWatch, todo action) {
 	s.mu.Lock()
 	w.busy = true
 	s.mu.Unlock()
 	s.running.Go(func() {
-		err := act(ctx)
-		s.finish(w, err)
+		err := todo.act(ctx)
+		s.finish(w, todo.kind, err)
 	})
 }
 
-func (s *Supervisor) finish(w *groupWatch, err error) {
+func (s *Supervisor) finish(w *groupWatch, k kind, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.busy = false
@@ -195,25 +211,30 @@
 		w.backoff = 0
 		return
 	}
+	if w.failed != k {
+		w.failed, w.backoff = k, 0
+	}
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
 	w.retryAt = s.now().Add(w.backoff)
-	s.metrics.Counter("attempts_failed_total").Inc(1)
-	s.log.Info("attempt failed", "database", w.database, "err", err, "retry_after", w.backoff)
+	s.metrics.Tagged(map[string]string{"kind": string(k)}).Counter("attempts_failed_total").Inc(1)
+	s.log.Info("attempt failed", "database", w.database, "kind", k, "err", err, "retry_after", w.backoff)
 }
 
-// decide returns the most urgent action, nil if there is none.
-func (s *Supervisor) decide(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+// decide returns the most urgent action, if any is due.
+func (s *Supervisor) decide(frame *controlstate.Frame, g *pb.Group, f groupFacts, now time.Time) (action, bool) {
 	switch g.GetStep() {
 	case pb.PromotionStep_PROMOTION_STEP_STARTED, pb.PromotionStep_PROMOTION_STEP_CHOSEN:
-		return func(ctx context.Context) error { return s.proceed(ctx, g.GetDatabase()) }
+		return action{kindChange, func(ctx context.Context) error { return s.proceed(ctx, g.GetDatabase()) }}, true
 	case pb.PromotionStep_PROMOTION_STEP_UNSPECIFIED:
-		return s.decideNew(g, w, now)
+		act := s.decideNew(g, f, now)
+		return action{kindFirst, act}, act != nil
 	}
-	if act := s.decideLoss(g, w, now); act != nil {
-		return act
+	if act := s.decideLoss(g, f, now); act != nil {
+		return action{kindLoss, act}, true
 	}
-	if act := s.decideRepair(frame, g, w, now); act != nil {
-		return act
+	if act := s.decideRepair(frame, g, f, now); act != nil {
+		return action{kindRepair, act}, true
 	}
-	return s.decideMembers(frame, g, w, now)
+	act := s.decideMembers(frame, g, f, now)
+	return action{kindMembers, act}, act != nil
 }
--- a/failover/members.go
+++ b/failover/members.go
@@ -20,7 +20,7 @@
 }
 
 // decideMembers replaces a primary that leaves, and changes one member.
-func (s *Supervisor) decideMembers(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+func (s *Supervisor) decideMembers(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) func(context.Context) error {
 	leaving := frame.Upstreams[g.GetPrimary()].GetLeaving()
 	change, wanted := s.wantedChange(frame, g, now)
 	if !leaving && !wanted {
@@ -181,7 +181,7 @@
 }
 
 // decideRemoval removes the registration of a leaving upstream that has gone.
-func (s *Supervisor) decideRemoval(frame *controlstate.Frame, g *pb.Group, now time.Time) action {
+func (s *Supervisor) decideRemoval(frame *controlstate.Frame, g *pb.Group, now time.Time) func(context.Context) error {
 	for _, u := range followers(frame, g, g.GetPrimary()) {
 		if !u.GetLeaving() || isMember(g, u.GetName()) {
 			continue
--- a/failover/new.go
+++ b/failover/new.go
@@ -9,7 +9,7 @@
 )
 
 // decideNew looks for the first primary of a group.
-func (s *Supervisor) decideNew(g *pb.Group, w groupFacts, now time.Time) action {
+func (s *Supervisor) decideNew(g *pb.Group, w groupFacts, now time.Time) func(context.Context) error {
 	waited := now.Sub(w.seenAt)
 	if waited < adoptTime {
 		return nil
@@ -28,7 +28,10 @@
 	if primary, ok := leader(good); ok {
 		return s.adopt(ctx, g, primary)
 	}
-	if !elect || len(good) < majority(g) {
+	if !elect {
+		return &NoPrimary{Database: g.GetDatabase()}
+	}
+	if len(good) < majority(g) {
 		return &NoMajority{Database: g.GetDatabase(), Answered: len(good), Needed: majority(g)}
 	}
 	return s.begin(ctx, g, nextTerm(g, replies), reasonElection)
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -11,7 +11,7 @@
 
 // decideRepair finds upstreams that do not follow the present primary: an old
 // primary that has returned, a new replica, or one whose order was lost.
-func (s *Supervisor) decideRepair(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+func (s *Supervisor) decideRepair(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) func(context.Context) error {
 	primary, registered := frame.Upstreams[g.GetPrimary()]
 	if !registered {
 		return nil
--- a/failover/watch.go
+++ b/failover/watch.go
@@ -12,7 +12,6 @@
 type groupWatch struct {
 	database string
 	busy     bool
-	retryAt  time.Time
 	backoff  time.Duration
 	groupFacts
 }
@@ -20,6 +19,10 @@
 // groupFacts are times and findings of this leader.
 type groupFacts struct {
 	watch *groupWatch
+	// failed is the kind of the last action that failed; it is due again at
+	// retryAt.
+	failed  kind
+	retryAt time.Time
 	// seenAt is when this leader first saw the group without a primary ever.
 	seenAt time.Time
 	// step, term and stepAt say since when this leader has seen the group at
@@ -44,8 +47,13 @@
 	replacedAt time.Time
 }
 
+// mayTry reports whether an action of a kind is not delayed by a failure.
+func (f groupFacts) mayTry(k kind, now time.Time) bool {
+	return f.failed != k || !now.Before(f.retryAt)
+}
+
 // observe updates what is known of a group and returns it, and whether an
-// action may start.
+// action is running.
 func (s *Supervisor) observe(g *pb.Group, now time.Time) (groupFacts, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,7 +72,7 @@
 		w.members, w.membersAt = g.GetMembers(), now
 		w.floorTerm, w.settled = 0, false
 	}
-	return w.groupFacts, !w.busy && !now.Before(w.retryAt)
+	return w.groupFacts, w.busy
 }
 
 // remember changes what is known of a group.
