--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -1,7 +1,6 @@
 package control_test
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -15,14 +14,16 @@
 
 	"lovageslip/control"
 	"lovageslip/controlstate"
-	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
-	"lovageslip/upstream"
 )
 
 const upstreamsPerDatabase = 3
 
-var benchmarkHosts = []int{18, 100, 400, 780}
+func atSizes(b *testing.B, run func(b *testing.B, hosts int)) {
+	for _, hosts := range []int{18, 100, 400, 780} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) { run(b, hosts) })
+	}
+}
 
 // fill gives a state that many hosts, and as many databases with three
 // upstreams each; every host owns three.
@@ -74,51 +75,47 @@
 // BenchmarkWatchWhole reports the size of a whole state, and the time to build
 // and encode it.
 func BenchmarkWatchWhole(b *testing.B) {
-	for _, hosts := range benchmarkHosts {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			state := controlstate.New(controlstate.Options{})
-			fill(state, hosts)
-			size := 0
-			for b.Loop() {
-				data, err := proto.Marshal(state.Frame().Whole())
-				assert.NilError(b, err)
-				size = len(data)
-			}
-			b.ReportMetric(float64(size), "bytes/state")
-		})
-	}
+	atSizes(b, func(b *testing.B, hosts int) {
+		state := controlstate.New(controlstate.Options{})
+		fill(state, hosts)
+		size := 0
+		for b.Loop() {
+			data, err := proto.Marshal(state.Frame().Whole())
+			assert.NilError(b, err)
+			size = len(data)
+		}
+		b.ReportMetric(float64(size), "bytes/state")
+	})
 }
 
 // BenchmarkWatchChange reports the cost of one change of a class: a new frame,
 // its difference and the encoding for one stream.
 func BenchmarkWatchChange(b *testing.B) {
-	for _, hosts := range benchmarkHosts {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			state := controlstate.New(controlstate.Options{})
-			fill(state, hosts)
-			version, _ := state.Classes()
-			old, size := state.Frame(), 0
-			for b.Loop() {
-				cmd, _ := proto.Marshal(&pb.Command{Command: &pb.Command_ChangeClass{ChangeClass: &pb.ChangeClassRequest{
-					ChangeId: fmt.Sprint("change", version), ExpectedVersion: version,
-					Class: &pb.Class{Name: "class_0", WaitMicros: int64(1000 + version%1000)},
-				}}})
-				state.Apply(0, cmd)
-				version++
-				next := state.Frame()
-				data, err := proto.Marshal(next.Since(old))
-				assert.NilError(b, err)
-				old, size = next, len(data)
-			}
-			b.ReportMetric(float64(size), "bytes/change")
-		})
-	}
+	atSizes(b, func(b *testing.B, hosts int) {
+		state := controlstate.New(controlstate.Options{})
+		fill(state, hosts)
+		version, _ := state.Classes()
+		old, size := state.Frame(), 0
+		for b.Loop() {
+			cmd, _ := proto.Marshal(&pb.Command{Command: &pb.Command_ChangeClass{ChangeClass: &pb.ChangeClassRequest{
+				ChangeId: fmt.Sprint("change", version), ExpectedVersion: version,
+				Class: &pb.Class{Name: "class_0", WaitMicros: int64(1000 + version%1000)},
+			}}})
+			state.Apply(0, cmd)
+			version++
+			next := state.Frame()
+			data, err := proto.Marshal(next.Since(old))
+			assert.NilError(b, err)
+			old, size = next, len(data)
+		}
+		b.ReportMetric(float64(size), "bytes/change")
+	})
 }
 
 // startFilled starts one control host whose hosts hold their leases.
 func startFilled(b *testing.B, hosts int) *node {
 	timing := control.Timing{LeaseExpiry: time.Hour, HostRemoval: time.Hour, Tick: time.Hour}
-	c := startCluster(b, 1, timing, silentDialer{})
+	c := startCluster(b, 1, timing, &databases{})
 	n := c.nodes[0]
 	fill(n.state, hosts)
 	n.server.Wake()
@@ -129,48 +126,44 @@
 // BenchmarkHeartbeat reports the leader's cost of a heartbeat, without the
 // network, and the size of its messages.
 func BenchmarkHeartbeat(b *testing.B) {
-	for _, hosts := range benchmarkHosts {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			n := startFilled(b, hosts)
-			requests := make([]*connect.Request[pb.HeartbeatRequest], hosts)
-			for i := range requests {
-				requests[i] = connect.NewRequest(heartbeatOf(i))
-			}
-			i, answered := 0, 0
-			b.ReportAllocs()
-			for b.Loop() {
-				r, err := n.server.Heartbeat(b.Context(), requests[i%hosts])
-				assert.NilError(b, err)
-				assert.Equal(b, len(r.Msg.GetRenewed()), upstreamsPerDatabase)
-				answered = proto.Size(r.Msg)
-				i++
-			}
-			b.ReportMetric(float64(proto.Size(requests[0].Msg)), "request-bytes")
-			b.ReportMetric(float64(answered), "response-bytes")
-		})
-	}
+	atSizes(b, func(b *testing.B, hosts int) {
+		n := startFilled(b, hosts)
+		requests := make([]*connect.Request[pb.HeartbeatRequest], hosts)
+		for i := range requests {
+			requests[i] = connect.NewRequest(heartbeatOf(i))
+		}
+		i, answered := 0, 0
+		b.ReportAllocs()
+		for b.Loop() {
+			r, err := n.server.Heartbeat(b.Context(), requests[i%hosts])
+			assert.NilError(b, err)
+			assert.Equal(b, len(r.Msg.GetRenewed()), upstreamsPerDatabase)
+			answered = proto.Size(r.Msg)
+			i++
+		}
+		b.ReportMetric(float64(proto.Size(requests[0].Msg)), "request-bytes")
+		b.ReportMetric(float64(answered), "response-bytes")
+	})
 }
 
 // BenchmarkHeartbeatOverHTTP reports the time and the bytes on the wire of a
 // heartbeat over one HTTP/2 connection, both directions and all headers
 // included, client and server in one process.
 func BenchmarkHeartbeatOverHTTP(b *testing.B) {
-	for _, hosts := range benchmarkHosts {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			n := startFilled(b, hosts)
-			warm := connect.NewRequest(heartbeatOf(0))
-			_, err := n.client.Heartbeat(b.Context(), warm)
+	atSizes(b, func(b *testing.B, hosts int) {
+		n := startFilled(b, hosts)
+		warm := connect.NewRequest(heartbeatOf(0))
+		_, err := n.client.Heartbeat(b.Context(), warm)
+		assert.NilError(b, err)
+		before, cpu, i := n.traffic.Load(), processorTime(b), 0
+		for b.Loop() {
+			_, err := n.client.Heartbeat(b.Context(), connect.NewRequest(heartbeatOf(i%hosts)))
 			assert.NilError(b, err)
-			before, cpu, i := n.traffic.Load(), processorTime(b), 0
-			for b.Loop() {
-				_, err := n.client.Heartbeat(b.Context(), connect.NewRequest(heartbeatOf(i%hosts)))
-				assert.NilError(b, err)
-				i++
-			}
-			b.ReportMetric(float64(n.traffic.Load()-before)/float64(i), "wire-bytes/op")
-			b.ReportMetric(float64(processorTime(b)-cpu)/float64(i), "cpu-ns/op")
-		})
-	}
+			i++
+		}
+		b.ReportMetric(float64(n.traffic.Load()-before)/float64(i), "wire-bytes/op")
+		b.ReportMetric(float64(processorTime(b)-cpu)/float64(i), "cpu-ns/op")
+	})
 }
 
 // processorTime returns the processor time that the process has used.
@@ -180,28 +173,19 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// silentDialer reaches no upstream.
-type silentDialer struct{}
-
-func (silentDialer) Dial(context.Context, string, string) (upstream.Conn, error) {
-	return nil, &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable}
-}
-
 // BenchmarkLeaderTick reports the cost of one round of the leader loop in
 // which nothing is due. There are 20 rounds in a second.
 func BenchmarkLeaderTick(b *testing.B) {
-	for _, hosts := range benchmarkHosts {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			n := startFilled(b, hosts)
-			for i := range hosts {
-				_, err := n.server.Heartbeat(b.Context(), connect.NewRequest(heartbeatOf(i)))
-				assert.NilError(b, err)
-			}
-			for b.Loop() {
-				n.server.Act()
-			}
-		})
-	}
+	atSizes(b, func(b *testing.B, hosts int) {
+		n := startFilled(b, hosts)
+		for i := range hosts {
+			_, err := n.server.Heartbeat(b.Context(), connect.NewRequest(heartbeatOf(i)))
+			assert.NilError(b, err)
+		}
+		for b.Loop() {
+			n.server.Act()
+		}
+	})
 }
 
 // countingListener counts the bytes of all its connections.
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -70,14 +70,18 @@
 	mux := http.NewServeMux()
 	mux.Handle(n.server.Handler())
 	serve(t, &countingListener{Listener: listener, bytes: &n.traffic}, mux)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); n.server.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done; httpClient.CloseIdleConnections() })
+	runUntilEnd(t, httpClient, n.server.Run)
 	n.client = controlclient.New(httpClient, n.address)
 	return n
 }
 
+func runUntilEnd(t testing.TB, client *http.Client, run func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; client.CloseIdleConnections() })
+}
+
 func serve(t testing.TB, listener net.Listener, handler http.Handler) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -160,9 +164,6 @@
 		Control: addresses, Name: name, Address: "127.0.0.1:7001", DataCentre: dataCentre, HTTPClient: httpClient, Health: health,
 		Timing: member.Timing{Heartbeat: 50 * time.Millisecond, Silence: time.Second, Behind: 300 * time.Millisecond},
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); agent.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done; httpClient.CloseIdleConnections() })
+	runUntilEnd(t, httpClient, agent.Run)
 	return agent
 }
--- a/control/log_test.go
+++ b/control/log_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 
 	"lovageslip/consensus"
 	"lovageslip/control/controlclient"
@@ -27,7 +29,7 @@
 	applied uint64
 	cut     bool
 	// checks is how often Leadership still holds; negative for no limit.
-	checks  int
+	checks  atomic.Int64
 	changed chan struct{}
 }
 
@@ -36,7 +38,8 @@
 func (c *memoryCluster) add(name, address string, state *controlstate.State) *memoryLog {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := &memoryLog{cluster: c, name: name, address: address, state: state, changed: make(chan struct{}), checks: -1}
+	n := &memoryLog{cluster: c, name: name, address: address, state: state, changed: make(chan struct{})}
+	n.checks.Store(math.MaxInt64)
 	c.nodes = append(c.nodes, n)
 	return n
 }
@@ -57,19 +60,6 @@
 	c.replicate()
 }
 
-// loseLeadershipAfter lets Leadership hold for some more checks only.
-func (c *memoryCluster) loseLeadershipAfter(n *memoryLog, checks int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n.checks = checks
-}
-
-func (c *memoryCluster) checksLeft(n *memoryLog) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return n.checks
-}
-
 func (c *memoryCluster) length() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,13 +111,7 @@
 func (n *memoryLog) Leadership() (uint64, bool) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
-	if n.checks == 0 {
-		return n.cluster.term, false
-	}
-	if n.checks > 0 {
-		n.checks--
-	}
-	return n.cluster.term, n.cluster.leader == n && !n.cut
+	return n.cluster.term, n.checks.Add(-1) >= 0 && n.cluster.leader == n && !n.cut
 }
 
 func (n *memoryLog) Leader() (string, string, bool) {
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -150,10 +150,10 @@
 	n.server.Wake()
 	awaitLeader(t, n)
 	n.beat(t, beat("p1", "luzon"))
-	c.loseLeadershipAfter(n.log, 1)
+	n.log.checks.Store(1)
 	_, err := n.client.Heartbeat(t.Context(), connect.NewRequest(beat("p1", "luzon")))
 	assert.Equal(t, connect.CodeOf(err), connect.CodeUnavailable)
-	assert.Equal(t, c.checksLeft(n.log), 0, "the leader did not check again")
+	assert.Assert(t, n.log.checks.Load() < 0, "the leader did not check again")
 }
 
 // Operators race and resend: of two changes with one expected version exactly
@@ -161,35 +161,24 @@
 func TestRacingAndResentClassChanges(t *testing.T) {
 	c := startCluster(t, 3, quick, nil)
 	awaitLeader(t, c.nodes[0])
-	type outcome struct {
-		response *pb.ChangeClassResponse
-		err      error
-	}
-	change := func(id string, n *node) outcome {
+	change := func(id string, n *node) *pb.ChangeClassResponse {
 		r, err := n.client.ChangeClass(t.Context(), connect.NewRequest(&pb.ChangeClassRequest{
 			ChangeId: id, Class: &pb.Class{Name: "short", WaitMicros: 50_000},
 		}))
-		if err != nil {
-			return outcome{err: err}
-		}
-		return outcome{response: r.Msg}
+		assert.Check(t, err)
+		return r.Msg
 	}
-	outcomes := make(chan outcome, 2)
-	go func() { outcomes <- change("one", c.nodes[1]) }()
-	go func() { outcomes <- change("two", c.nodes[2]) }()
-	first, second := <-outcomes, <-outcomes
-	assert.NilError(t, first.err)
-	assert.NilError(t, second.err)
-	if first.response.GetConflict() {
+	racing := make(chan *pb.ChangeClassResponse, 1)
+	go func() { racing <- change("one", c.nodes[1]) }()
+	first, second := change("two", c.nodes[2]), <-racing
+	if first.GetConflict() {
 		first, second = second, first
 	}
-	assert.Assert(t, !first.response.GetConflict())
-	assert.Assert(t, second.response.GetConflict())
-	winner := second.response.GetWinner().GetChangeId()
-	again := change(winner, c.nodes[0])
-	assert.NilError(t, again.err)
-	assert.Assert(t, !again.response.GetConflict())
-	assert.Equal(t, again.response.GetVersion(), first.response.GetVersion())
+	assert.Assert(t, !first.GetConflict())
+	assert.Assert(t, second.GetConflict())
+	again := change(second.GetWinner().GetChangeId(), c.nodes[0])
+	assert.Assert(t, !again.GetConflict())
+	assert.Equal(t, again.GetVersion(), first.GetVersion())
 	list, err := c.nodes[1].client.ListClasses(t.Context(), connect.NewRequest(&pb.ListClassesRequest{}))
 	assert.NilError(t, err)
 	assert.Equal(t, list.Msg.GetVersion(), uint64(1))
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -271,7 +271,7 @@
 func TestPrimaryThatAnswersTheLeaderStays(t *testing.T) {
 	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
 	j := newJournal(state, 2, nil)
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: leaseExpiry})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: leaseExpiry})
 	j.reportAll(n, 0)
 	j.reports["a"] = failover.Report{At: time.Now(), Unreachable: 2 * time.Second, Term: 1}
 	s.Tick(t.Context())
@@ -285,7 +285,7 @@
 func TestOwnerThatStaysBlindIsDropped(t *testing.T) {
 	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
 	j := newJournal(state, 2, nil)
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: leaseExpiry})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: leaseExpiry})
 	j.reportAll(n, 0)
 	j.reports["a"] = failover.Report{At: time.Now(), Unreachable: 4 * time.Second, Term: 1}
 	s.Tick(t.Context())
@@ -300,7 +300,7 @@
 	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
 	j := newJournal(state, 2, nil)
 	now := time.Now()
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: leaseExpiry, Now: func() time.Time { return now }})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: leaseExpiry, Now: func() time.Time { return now }})
 	j.reportAll(n, 2*time.Second)
 	s.Tick(t.Context())
 	s.Wait()
--- a/failover/fake_test.go
+++ b/failover/fake_test.go
@@ -28,7 +28,7 @@
 	loseAnswers map[string]int
 }
 
-// fakeNet is the group of servers, and the Dialer towards them.
+// fakeNet is the group of servers.
 type fakeNet struct {
 	mu      sync.Mutex
 	servers map[string]*fakeServer
@@ -143,30 +143,21 @@
 	s.offset, s.history = p.offset, slices.Clone(p.history)
 }
 
-func (n *fakeNet) Dial(_ context.Context, address, _ string) (upstream.Conn, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, s := range n.servers {
-		if s.address == address && !s.down {
-			return &fakeConn{net: n, server: s}, nil
-		}
-	}
-	return nil, &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable}
-}
-
-// view is the Dialer of one leader that may crash.
+// view is the Dialer of one leader, which may crash.
 type view struct {
 	net   *fakeNet
 	crash *crash
 }
 
-func (v *view) Dial(ctx context.Context, address, database string) (upstream.Conn, error) {
-	conn, err := v.net.Dial(ctx, address, database)
-	if err != nil {
-		return nil, err
+func (v *view) Dial(_ context.Context, address, _ string) (upstream.Conn, error) {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	for _, s := range v.net.servers {
+		if s.address == address && !s.down {
+			return &fakeConn{net: v.net, server: s, crash: v.crash}, nil
+		}
 	}
-	conn.(*fakeConn).crash = v.crash
-	return conn, nil
+	return nil, &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable}
 }
 
 type fakeConn struct {
--- a/failover/members_test.go
+++ b/failover/members_test.go
@@ -35,7 +35,7 @@
 	register(state, "a", true)
 	j := newJournal(state, 2, nil)
 	now := time.Now()
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
 	for range 5 {
 		now = now.Add(time.Minute)
 		s.Tick(t.Context())
@@ -67,7 +67,7 @@
 	register(state, "e", true)
 	j := newJournal(state, 2, nil)
 	now := time.Now()
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
 	ticks := func(count int) {
 		for range count {
 			now = now.Add(time.Millisecond)
@@ -94,7 +94,7 @@
 	register(state, "c", true)
 	j := newJournal(state, 2, nil)
 	now := time.Now()
-	s := failover.New(failover.Options{Dialer: n, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
 	for range 5 {
 		now = now.Add(time.Minute)
 		j.reportAll(n, 0)
@@ -111,3 +111,24 @@
 	}
 	assert.Equal(t, len(members(state)), 2)
 }
+
+// The replacement of a lost primary must not wait for the retry of a member
+// change that failed a moment ago.
+func TestLostPrimaryDoesNotWaitForMemberChanges(t *testing.T) {
+	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
+	n.write("a", 10)
+	register(state, "c", true)
+	j := newJournal(state, 2, nil)
+	now := time.Now()
+	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: time.Minute, Now: func() time.Time { return now }})
+	for range 5 {
+		now = now.Add(time.Minute)
+		s.Tick(t.Context())
+		s.Wait()
+	}
+	n.edit("a", func(s *fakeServer) { s.down = true })
+	j.reports["a"] = failover.Report{At: now, Unreachable: 2 * time.Second}
+	s.Tick(t.Context())
+	s.Wait()
+	assert.Assert(t, changed(state)())
+}
--- a/member/agent.go
+++ b/member/agent.go
@@ -42,8 +42,8 @@
 
 // HealthSource supplies reports on the upstreams that this host owns.
 type HealthSource interface {
-	// Health returns the current reports. It is called from one goroutine
-	// and must not block.
+	// Health returns the current reports. It must be safe for concurrent
+	// use and must not block.
 	Health() []*pb.UpstreamHealth
 }
 
