--- a/failover/members.go
+++ b/failover/members.go
@@ -23,7 +23,7 @@
 // changes one member. Settling does not wait for a wanted change, because a
 // primary that is cut off later can be passed over only if the members had
 // settled before.
-func (s *Supervisor) decideMembers(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) action {
+func (s *Supervisor) decideMembers(frame *controlstate.Frame, g *pb.Group, w groupFacts, now time.Time) func(context.Context) error {
 	if now.Sub(w.membersAt) < s.expiry {
 		return nil
 	}
@@ -185,7 +185,7 @@
 }
 
 // decideRemoval removes the registration of a leaving upstream that has gone.
-func (s *Supervisor) decideRemoval(frame *controlstate.Frame, g *pb.Group, now time.Time) action {
+func (s *Supervisor) decideRemoval(frame *controlstate.Frame, g *pb.Group, now time.Time) func(context.Context) error {
 	for _, u := range followers(frame, g, g.GetPrimary()) {
 		if !u.GetLeaving() || isMember(g, u.GetName()) {
 			continue
