--- a/caller/pgcaller/conn.go
+++ b/caller/pgcaller/conn.go
@@ -34,6 +34,8 @@
 	inTransaction bool
 	// failed is true while the open transaction has failed in the database.
 	failed bool
+	// secure is true once the caller has asked for TLS and got it.
+	secure bool
 
 	mu       sync.Mutex
 	network  net.Conn // guarded by mu against drain and abort
--- a/caller/pgcaller/errors.go
+++ b/caller/pgcaller/errors.go
@@ -17,6 +17,8 @@
 	codeAlreadyCommitted = "57L02"
 	codeOutcomeUnknown   = "40003"
 	codeBadToken         = "28L01"
+	codeBadPassword      = "28P01"
+	codeNotAuthorized    = "28000"
 	codeInvalid          = "22023"
 	codeUnsupported      = "0A000"
 	codeUnknownDatabase  = "3D000"
--- a/caller/pgcaller/server.go
+++ b/caller/pgcaller/server.go
@@ -37,6 +37,9 @@
 	Authenticator Authenticator
 	// TLS enables SSLRequest; nil refuses encryption.
 	TLS *tls.Config
+	// RequireTLS refuses callers that do not ask for encryption. Cancel
+	// requests are taken either way.
+	RequireTLS bool
 	// ServerVersion is reported to callers.
 	ServerVersion string
 	// MaxMessage bounds a message and a batch, in bytes.
--- a/caller/pgcaller/startup.go
+++ b/caller/pgcaller/startup.go
@@ -34,27 +34,6 @@
 	RemoteAddr net.Addr
 }
 
-// AuthConn lets an Authenticator talk with the caller.
-type AuthConn interface {
-	// Send writes an authentication request.
-	Send(message pgproto3.BackendMessage) error
-	// Receive returns the body of the caller's next password message. It is
-	// valid until the next call.
-	Receive() ([]byte, error)
-}
-
-// Authenticator decides whether a caller may connect. It is safe for
-// concurrent use. An error refuses the caller.
-type Authenticator interface {
-	Authenticate(ctx context.Context, startup Startup, conn AuthConn) error
-}
-
-// Trust accepts every caller.
-type Trust struct{}
-
-// Authenticate implements Authenticator.
-func (Trust) Authenticate(context.Context, Startup, AuthConn) error { return nil }
-
 // start runs the start-up phase. It returns false if the connection has served
 // its purpose, as after a cancel request.
 func (c *conn) start(ctx context.Context) (bool, error) {
@@ -73,7 +52,7 @@
 	if err := c.negotiate(message); err != nil {
 		return false, err
 	}
-	if err := c.open(ctx, message.Parameters); err != nil {
+	if err := c.open(ctx, message.Parameters, deadline); err != nil {
 		return false, err
 	}
 	if err := c.network.SetDeadline(time.Time{}); err != nil {
@@ -94,7 +73,7 @@
 		case codeSSLRequest:
 			err = c.answerSSL()
 		case codeGSSENCRequest:
-			_, err = c.network.Write([]byte{'N'})
+			err = c.answerByte('N')
 		case codeCancelRequest:
 			c.server.cancelRequest(packet)
 			return nil, nil
@@ -102,7 +81,7 @@
 			return packet, nil
 		}
 		if err != nil {
-			return nil, &fault.IO{Op: "answer encryption request", Err: err}
+			return nil, err
 		}
 	}
 	return nil, &protocolError{detail: "too many encryption requests"}
@@ -125,18 +104,29 @@
 }
 
 func (c *conn) answerSSL() error {
+	if c.secure {
+		return &protocolError{detail: "TLS is in use already"}
+	}
 	config := c.server.options.TLS
 	if config == nil {
-		_, err := c.network.Write([]byte{'N'})
-		return err
+		return c.answerByte('N')
 	}
-	if _, err := c.network.Write([]byte{'S'}); err != nil {
+	if err := c.answerByte('S'); err != nil {
 		return err
 	}
+	c.secure = true
 	c.setNetwork(tls.Server(c.network, config))
 	return nil
 }
 
+// answerByte answers an encryption request.
+func (c *conn) answerByte(answer byte) error {
+	if _, err := c.network.Write([]byte{answer}); err != nil {
+		return &fault.IO{Op: "answer encryption request", Err: err}
+	}
+	return nil
+}
+
 // negotiate offers version 3.0 to callers that ask for a later minor version
 // or for protocol options.
 func (c *conn) negotiate(message *pgproto3.StartupMessage) error {
@@ -157,8 +147,12 @@
 	return nil
 }
 
-// open authenticates the caller, opens its session and reports the parameters.
-func (c *conn) open(ctx context.Context, parameters map[string]string) error {
+// open authenticates the caller until the deadline, opens its session and
+// reports the parameters.
+func (c *conn) open(ctx context.Context, parameters map[string]string, deadline time.Time) error {
+	if c.server.options.RequireTLS && !c.secure {
+		return &tlsRequired{}
+	}
 	startup := Startup{User: parameters["user"], Database: parameters["database"], Parameters: parameters, RemoteAddr: c.network.RemoteAddr()}
 	if startup.User == "" {
 		return &protocolError{detail: "no user name in start-up packet"}
@@ -166,7 +160,9 @@
 	if startup.Database == "" {
 		startup.Database = startup.User
 	}
-	if err := c.server.options.Authenticator.Authenticate(ctx, startup, (*authConn)(c)); err != nil {
+	messages := &authConn{conn: c, deadline: deadline}
+	if err := c.server.options.Authenticator.Authenticate(ctx, startup, messages); err != nil {
+		c.noteRefusal(startup, err)
 		return err
 	}
 	// Applying the parameters reports some of them, which a caller accepts
@@ -217,28 +213,6 @@
 	c.send(&pgproto3.ParameterStatus{Name: name, Value: value})
 }
 
-// authConn adapts a connection for authenticators.
-type authConn conn
-
-// Send implements AuthConn.
-func (a *authConn) Send(message pgproto3.BackendMessage) error {
-	c := (*conn)(a)
-	c.send(message)
-	return c.flush()
-}
-
-// Receive implements AuthConn.
-func (a *authConn) Receive() ([]byte, error) {
-	kind, body, err := a.reader.next(maxStartup)
-	if err != nil {
-		return nil, err
-	}
-	if kind != 'p' {
-		return nil, &protocolError{detail: "expected a password message"}
-	}
-	return body, nil
-}
-
 // applyStartup sets the parameters of the start-up packet and its options.
 func (c *conn) applyStartup(parameters map[string]string) error {
 	options, err := parseOptions(parameters["options"])
