--- a/caller/pgcaller/auth_test.go
+++ b/caller/pgcaller/auth_test.go
@@ -22,6 +22,7 @@
 	"lovageslip/pgscram"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
+	"lovageslip/upstream"
 )
 
 const (
@@ -177,7 +178,7 @@
 // watched during a long batch, and against a certificate that is not checked.
 func TestCallersOverTLS(t *testing.T) {
 	authority := testcert.NewAuthority(t, "site")
-	slow := func(context.Context, string, func([]byte) error) (bool, error) {
+	slow := func(context.Context, string, upstream.Sink) (bool, error) {
 		time.Sleep(slowBatch)
 		return false, nil
 	}
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -29,8 +29,9 @@
 
 func newAnnouncer(s *Server, urls []string) *announcer {
 	a := &announcer{server: s, now: make(chan struct{}, 1)}
+	httpClient := cmp.Or(s.options.HTTPClient, http.DefaultClient)
 	for _, url := range urls {
-		client := lovageslipv1connect.NewControlServiceClient(http.DefaultClient, url, connect.WithProtoJSON())
+		client := lovageslipv1connect.NewControlServiceClient(httpClient, url, connect.WithProtoJSON())
 		a.clients = append(a.clients, client)
 	}
 	return a
--- /dev/null
+++ b/standin/auth.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// authenticate checks the transport and the password of a new session. It
+// returns nil if the session may go on.
+func (s *session) authenticate(user string) *pgError {
+	if s.server.options.TLS != nil && !isTLS(s.conn) {
+		return &pgError{Code: codeNotAuthorized, Message: "connections without TLS are not accepted"}
+	}
+	if s.server.logins == nil {
+		return nil
+	}
+	if err := s.server.logins.Verify(user, passwordMessages{s}); err != nil {
+		return &pgError{Code: codeBadPassword, Message: "password authentication failed for user " + user}
+	}
+	return nil
+}
+
+// passwordMessages carries the messages of a login.
+type passwordMessages struct{ session *session }
+
+// Send implements pgscram.Messages.
+func (m passwordMessages) Send(message pgproto3.BackendMessage) error {
+	m.session.send(message)
+	return m.session.flush()
+}
+
+// Receive implements pgscram.Messages.
+func (m passwordMessages) Receive() ([]byte, error) {
+	kind, body, err := m.session.in.next()
+	if err == nil && kind != 'p' {
+		err = &pgError{Code: codeProtocol, Message: "expected a password message"}
+	}
+	return body, err
+}
--- a/standin/errors.go
+++ b/standin/errors.go
@@ -20,6 +20,8 @@
 	codeTermTooLow         = "55L01"
 	codeShutdown           = "57P01"
 	codeProtocol           = "08P01"
+	codeNotAuthorized      = "28000"
+	codeBadPassword        = "28P01"
 	codeInvalidParameter   = "22023"
 	codeUnknownSetting     = "42704"
 	codeUnknownStatement   = "26000"
--- a/standin/peer.go
+++ b/standin/peer.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"crypto/tls"
 	"net"
 	"syscall"
 )
@@ -8,6 +9,9 @@
 // peerClosed reports whether the client has closed the connection. It consumes
 // nothing.
 func peerClosed(conn net.Conn) bool {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
 	holder, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/standin/server.go
+++ b/standin/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -71,7 +72,17 @@
 			return
 		}
 		switch binary.BigEndian.Uint32(body) {
-		case codeSSLRequest, codeGSSEncRequest:
+		case codeSSLRequest:
+			secured, ok := s.answerSSL(conn, reader)
+			if !ok {
+				return
+			}
+			if secured != conn {
+				defer secured.Close()
+				conn = secured
+				reader.Reset(conn)
+			}
+		case codeGSSEncRequest:
 			if _, err := conn.Write([]byte{'N'}); err != nil {
 				return
 			}
@@ -79,13 +90,33 @@
 			s.cancel(body)
 			return
 		default:
-			_ = conn.SetDeadline(time.Time{})
 			s.serveStartup(run, conn, reader, body)
 			return
 		}
 	}
 }
 
+// answerSSL returns the connection to go on with. Bytes that came in plaintext
+// behind the request end the connection: they may be somebody else's.
+func (s *Server) answerSSL(conn net.Conn, reader *bufio.Reader) (net.Conn, bool) {
+	if s.options.TLS == nil {
+		_, err := conn.Write([]byte{'N'})
+		return conn, err == nil
+	}
+	if isTLS(conn) || reader.Buffered() > 0 {
+		return nil, false
+	}
+	if _, err := conn.Write([]byte{'S'}); err != nil {
+		return nil, false
+	}
+	return tls.Server(conn, s.options.TLS), true
+}
+
+func isTLS(conn net.Conn) bool {
+	_, ok := conn.(*tls.Conn)
+	return ok
+}
+
 func readStartup(reader *bufio.Reader) ([]byte, error) {
 	var header [4]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
@@ -106,6 +137,7 @@
 		return
 	}
 	if startup.Parameters[replicationParameter] != "" {
+		_ = conn.SetDeadline(time.Time{})
 		s.serveReplica(run, conn, reader)
 		return
 	}
@@ -113,6 +145,11 @@
 		waitFor(run, nil, delay)
 	}
 	open := newSession(s, run, conn, reader, startup.Parameters)
+	if refused := open.authenticate(startup.Parameters["user"]); refused != nil {
+		open.fatal(refused)
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
 	if refused := s.register(open); refused != nil {
 		open.fatal(refused)
 		return
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -22,6 +24,7 @@
 	"lovageslip/fault"
 	"lovageslip/logging"
 	"lovageslip/metrics"
+	"lovageslip/pgscram"
 	"lovageslip/upstream"
 )
 
@@ -60,6 +63,14 @@
 	MaxConnections int
 	// AnnounceTo lists base URLs of proxies or control hosts.
 	AnnounceTo []string
+	// HTTPClient carries the announcements; a plaintext one if nil.
+	HTTPClient *http.Client
+	// TLS is offered to sessions, which are then refused without it.
+	// Replication between stand-ins stays in plaintext.
+	TLS *tls.Config
+	// Passwords are the passwords of the users, who log in by SCRAM-SHA-256;
+	// nil trusts every user.
+	Passwords map[string]string
 }
 
 // Server is a running stand-in. Its methods are safe for concurrent use.
@@ -69,6 +80,7 @@
 	metrics tally.Scope
 	address string
 	tempDir string
+	logins  *pgscram.Verifier // nil trusts every user
 
 	state  *state
 	store  *store
@@ -99,6 +111,9 @@
 // Errors: *fault.IO if it can't listen or create its database.
 func Start(options Options) (*Server, error) {
 	s := newServer(options)
+	if err := s.loadPasswords(); err != nil {
+		return nil, err
+	}
 	if err := s.openStore(); err != nil {
 		return nil, err
 	}
@@ -137,6 +152,15 @@
 	return s
 }
 
+func (s *Server) loadPasswords() error {
+	if len(s.options.Passwords) == 0 {
+		return nil
+	}
+	var err error
+	s.logins, err = pgscram.NewVerifier(s.options.Passwords)
+	return err
+}
+
 func (s *Server) openStore() error {
 	dir := s.options.Dir
 	if dir == "" {
--- /dev/null
+++ b/upstream/pgupstream/auth.go
@@ -0,0 +1,100 @@
+package pgupstream
+
+import (
+	"encoding/binary"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"lovageslip/pgscram"
+)
+
+// authentication answers the authentication requests of one start-up.
+type authentication struct {
+	conn     *Conn
+	login    *pgscram.Login // nil until the server asks for SCRAM
+	accepted bool
+}
+
+// answer handles an authentication request. A server that accepts the user
+// without asking is taken as one that trusts it; a server that has begun SCRAM
+// has to finish it.
+func (a *authentication) answer(body []byte) error {
+	if len(body) < 4 {
+		return unavailable("start-up: malformed authentication request")
+	}
+	data := body[4:]
+	switch binary.BigEndian.Uint32(body) {
+	case pgproto3.AuthTypeOk:
+		return a.accept()
+	case pgproto3.AuthTypeSASL:
+		return a.begin(body)
+	case pgproto3.AuthTypeSASLContinue:
+		return a.prove(data)
+	case pgproto3.AuthTypeSASLFinal:
+		return a.finish(data)
+	}
+	return unavailable("start-up: the server asks for authentication other than " + pgscram.Mechanism)
+}
+
+func (a *authentication) accept() error {
+	if a.login != nil && !a.login.Done() {
+		return unavailable("start-up: the server has not proved that it knows the password")
+	}
+	a.accepted = true
+	return nil
+}
+
+func (a *authentication) begin(body []byte) error {
+	if a.conn.dialer.scram == nil {
+		return unavailable("start-up: the server asks for a password and none is set")
+	}
+	if a.login != nil {
+		return unavailable("start-up: the server asks for a password twice")
+	}
+	var offer pgproto3.AuthenticationSASL
+	if err := offer.Decode(body); err != nil {
+		return unavailable("start-up: malformed authentication request")
+	}
+	login, err := a.conn.dialer.scram.Start(offer.AuthMechanisms)
+	if err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	first, err := login.First()
+	if err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	a.login = login
+	return a.send(&pgproto3.SASLInitialResponse{AuthMechanism: pgscram.Mechanism, Data: first})
+}
+
+func (a *authentication) prove(challenge []byte) error {
+	if a.login == nil {
+		return unavailable("start-up: a challenge without a login")
+	}
+	proof, err := a.login.Proof(challenge)
+	if err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	return a.send(&pgproto3.SASLResponse{Data: proof})
+}
+
+func (a *authentication) finish(outcome []byte) error {
+	if a.login == nil {
+		return unavailable("start-up: an outcome without a login")
+	}
+	if err := a.login.Finish(outcome); err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	return nil
+}
+
+func (a *authentication) send(message pgproto3.FrontendMessage) error {
+	raw, err := message.Encode(nil)
+	if err == nil {
+		_, err = a.conn.socket.Write(raw)
+	}
+	if err != nil {
+		return unavailable("start-up: " + err.Error())
+	}
+	return nil
+}
--- a/upstream/pgupstream/cancel.go
+++ b/upstream/pgupstream/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -48,14 +49,19 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = socket.SetDeadline(deadline)
 	}
+	secured, err := c.dialer.secure(socket, c.address)
+	if err != nil {
+		return &fault.IO{Op: "cancel", Err: err}
+	}
 	raw, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
 	if err == nil {
-		_, err = socket.Write(raw)
+		_, err = secured.Write(raw)
 	}
 	if err == nil {
-		_, err = io.Copy(io.Discard, socket)
+		_, err = io.Copy(io.Discard, secured)
 	}
-	if err != nil {
+	// Servers may close an encrypted connection without saying goodbye.
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return &fault.IO{Op: "cancel", Err: err}
 	}
 	return nil
--- a/upstream/pgupstream/conn.go
+++ b/upstream/pgupstream/conn.go
@@ -58,11 +58,12 @@
 
 var _ upstream.Conn = (*Conn)(nil)
 
-func newConn(d *Dialer, socket net.Conn, address string) *Conn {
+// newConn takes the transport and the descriptor beneath it.
+func newConn(d *Dialer, socket net.Conn, raw syscall.RawConn, address string) *Conn {
 	return &Conn{
 		dialer:   d,
 		socket:   socket,
-		raw:      rawConn(socket),
+		raw:      raw,
 		address:  address,
 		in:       newReader(socket),
 		prepared: map[string]struct{}{},
@@ -119,7 +120,7 @@
 	if c.broken.Load() {
 		return unavailable(c.address + ": the connection is broken")
 	}
-	if c.in.buffered() == 0 && socketUsable(c.raw) {
+	if c.in.buffered() == 0 && socketUsable(c.raw, c.dialer.options.TLS != nil) {
 		return nil
 	}
 	c.broken.Store(true)
--- a/upstream/pgupstream/dial.go
+++ b/upstream/pgupstream/dial.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"time"
@@ -15,6 +16,7 @@
 	"lovageslip/fault"
 	"lovageslip/logging"
 	"lovageslip/metrics"
+	"lovageslip/pgscram"
 	"lovageslip/upstream"
 )
 
@@ -29,15 +31,22 @@
 	Metrics tally.Scope
 	// User to connect as; "lovageslip" if empty.
 	User string
+	// Password answers a server that asks for SCRAM-SHA-256; empty for none.
+	// It is never sent, and no other way of authentication is answered.
+	Password string
+	// TLS encrypts every connection, cancel requests included. The
+	// certificate must name the IP number of the upstream. A server that
+	// declines is not used. Nil means plaintext.
+	TLS *tls.Config
 	// DialTimeout bounds a Dial whose context has no earlier deadline; 5 s
 	// if zero.
 	DialTimeout time.Duration
 }
 
-// Dialer opens connections with trust authentication. It is safe for
-// concurrent use.
+// Dialer opens connections. It is safe for concurrent use.
 type Dialer struct {
 	options Options
+	scram   *pgscram.Client // nil without a password
 	log     *slog.Logger
 	metrics tally.Scope
 }
@@ -52,11 +61,15 @@
 	if options.DialTimeout == 0 {
 		options.DialTimeout = defaultDialTimeout
 	}
-	return &Dialer{
+	d := &Dialer{
 		options: options,
 		log:     logging.For(options.Log, "pgupstream"),
 		metrics: metrics.OrNoop(options.Metrics).SubScope("pgupstream"),
 	}
+	if options.Password != "" {
+		d.scram = pgscram.NewClient(options.Password)
+	}
+	return d
 }
 
 // Dial connects to the server at address.
@@ -69,9 +82,8 @@
 	if err != nil {
 		return nil, unavailable("dial " + address + ": " + err.Error())
 	}
-	c := newConn(d, socket, address)
 	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Now()) })
-	err = c.startup(database)
+	c, err := d.start(socket, address, database)
 	if !stop() && err == nil {
 		err = unavailable("dial " + address + ": " + ctx.Err().Error())
 	}
@@ -83,6 +95,16 @@
 	return c, nil
 }
 
+// start makes a connection out of a new socket.
+func (d *Dialer) start(socket net.Conn, address, database string) (*Conn, error) {
+	secured, err := d.secure(socket, address)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(d, secured, rawConn(socket), address)
+	return c, c.startup(database)
+}
+
 func unavailable(detail string) *fault.NotRun {
 	return &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable, Detail: detail}
 }
@@ -99,24 +121,23 @@
 	if err != nil {
 		return unavailable("start-up: " + err.Error())
 	}
+	auth := &authentication{conn: c}
 	for {
 		kind, body, err := c.in.message()
 		if err != nil {
 			return unavailable("start-up: " + err.Error())
 		}
-		done, err := c.startupMessage(kind, body)
+		done, err := c.startupMessage(auth, kind, body)
 		if done || err != nil {
 			return err
 		}
 	}
 }
 
-func (c *Conn) startupMessage(kind byte, body []byte) (bool, error) {
+func (c *Conn) startupMessage(auth *authentication, kind byte, body []byte) (bool, error) {
 	switch kind {
 	case 'R':
-		if len(body) < 4 || body[3] != 0 {
-			return false, unavailable("start-up: the server asks for authentication")
-		}
+		return false, auth.answer(body)
 	case 'K':
 		var key pgproto3.BackendKeyData
 		if err := key.Decode(body); err != nil {
@@ -127,6 +148,9 @@
 		failure := parseError(body)
 		return false, unavailable("refused with SQLSTATE " + failure.Code + ": " + failure.Message)
 	case 'Z':
+		if !auth.accepted {
+			return false, unavailable("start-up: the server is ready before it has accepted the user")
+		}
 		c.state = upstream.StateIdle
 		return true, nil
 	case 'S', 'N':
--- a/upstream/pgupstream/fault_test.go
+++ b/upstream/pgupstream/fault_test.go
@@ -86,7 +86,7 @@
 	server := startServer(t, standin.Options{})
 	conn := dialConn(t, server.Address())
 	server.Kill()
-	eventually(t, "connection closed", func() bool { return !socketUsable(conn.raw) })
+	eventually(t, "connection closed", func() bool { return !socketUsable(conn.raw, false) })
 	notRun(t, write(conn, "CREATE TABLE v (id INTEGER)", "").err, fault.ReasonUpstreamUnavailable)
 	_, err := NewDialer(Options{}).Dial(t.Context(), server.Address(), "db")
 	notRun(t, err, fault.ReasonUpstreamUnavailable)
--- a/upstream/pgupstream/socket.go
+++ b/upstream/pgupstream/socket.go
@@ -20,8 +20,9 @@
 
 // socketUsable reports whether the server has neither closed the connection
 // nor said goodbye on it. A batch that is not sent on a dead connection has
-// certainly not run.
-func socketUsable(raw syscall.RawConn) bool {
+// certainly not run. Bytes that wait on an encrypted connection may be a goodbye,
+// so that it counts as closed.
+func socketUsable(raw syscall.RawConn, encrypted bool) bool {
 	if raw == nil {
 		return true
 	}
@@ -33,7 +34,7 @@
 			usable = err == syscall.EAGAIN || err == syscall.EINTR
 			return
 		}
-		usable = n == 1 && first[0] != 'E'
+		usable = n == 1 && first[0] != 'E' && !encrypted
 	})
 	return usable && err == nil
 }
