daemon: wire logins and TLS of callers and upstreams; test a site with TLS

[callers] auth, password_file and require_tls, [upstreams] user and password_file, and [tls_upstreams] now have effect on proxies, the last three on control hosts too. With auth = scram and no [tls_callers] a proxy warns at start.

Host ports log refused handshakes to the host's log; they went to the standard logger. The HTTP client with TLS passes CloseIdleConnections on, which had no effect through the wrapper.

The test runs three control hosts, two proxies and three stand-ins with TLS on every edge, checks the first byte of each connection to a host port, and tries peers without a certificate, of another authority, and in plaintext.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -16,7 +16,6 @@
 	"lovageslip/metrics"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
-	"lovageslip/upstream/pgupstream"
 )
 
 // RunControl runs a control host until ctx ends or it fails. A nil listener
@@ -28,6 +27,10 @@
 	}
 	scope, metricsHandler, closer := metrics.NewScope()
 	defer closer.Close()
+	dialer, err := newDialer(s.Upstreams, s.TLSUpstreams, log, scope)
+	if err != nil {
+		return err
+	}
 	listener, err = listen(listener, s.Hosts, hostTLS.server)
 	if err != nil {
 		return err
@@ -56,7 +59,7 @@
 		Name:       s.Name,
 		Consensus:  node,
 		State:      state,
-		Dialer:     pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope}),
+		Dialer:     dialer,
 		HTTPClient: client,
 	})
 	mux := http.NewServeMux()
@@ -65,9 +68,10 @@
 		mux.Handle(route.Path, route.Handler)
 	}
 
-	logging.For(log, "daemon").Info("control host started", "host", s.Name, "address", s.Hosts)
+	daemonLog := logging.For(log, "daemon")
+	daemonLog.Info("control host started", "host", s.Name, "address", s.Hosts)
 	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, listener, mux) })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, listener, mux, daemonLog) })
 	tasks.Go(func(ctx context.Context) error { server.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return watchStorage(ctx, node) })
 	tasks.Go(func(ctx context.Context) error {
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -25,7 +25,6 @@
 	"lovageslip/session"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
-	"lovageslip/upstream/pgupstream"
 )
 
 // Listeners are the open listeners of a proxy; a nil one is opened on the
@@ -79,6 +78,14 @@
 	if err != nil {
 		return nil, err
 	}
+	authenticator, err := newAuthenticator(s)
+	if err != nil {
+		return nil, err
+	}
+	dialer, err := newDialer(s.Upstreams, s.TLSUpstreams, log, scope)
+	if err != nil {
+		return nil, err
+	}
 	signer, err := newSigner(s.TokenKeys)
 	if err != nil {
 		return nil, err
@@ -91,7 +98,7 @@
 	})
 	p.owner = owner.New(owner.Options{
 		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
-		Dialer: pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope}),
+		Dialer: dialer,
 	})
 	p.exchanges = exchange.NewDrainableServer(p.owner)
 	p.client = exchange.NewClient(exchange.ClientOptions{HTTP: httpClient, Log: log, Metrics: scope})
@@ -102,7 +109,7 @@
 			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
 			HostName: s.Name, DataCentre: s.DataCentre, Log: log, Metrics: scope,
 		}),
-		TLS: callerTLS, Log: log, Metrics: scope,
+		Authenticator: authenticator, TLS: callerTLS, RequireTLS: s.RequireTLS, Log: log, Metrics: scope,
 	})
 	return p, nil
 }
@@ -149,7 +156,7 @@
 	defer stop()
 	tasks := pool.New().WithContext(parts).WithCancelOnError().WithFirstError()
 	tasks.Go(func(ctx context.Context) error { p.agent.Run(ctx); return nil })
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, mux) })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, mux, p.log) })
 	tasks.Go(func(ctx context.Context) error { return serveOps(ctx, p.settings.Metrics, metricsHandler, p.ready) })
 	tasks.Go(func(context.Context) error { return p.serveCallers(callers) })
 	tasks.Go(func(parts context.Context) error {
@@ -160,6 +167,7 @@
 		defer stop()
 		return p.shutdown()
 	})
+	p.warnOfPlaintext()
 	p.log.Info("proxy started", "host", p.settings.Name, "callers", callers.Addr(), "hosts", hosts.Addr())
 	return tasks.Wait()
 }
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 
@@ -43,9 +44,11 @@
 	return tls.NewListener(listener, config)
 }
 
-// serveHosts serves the calls of other hosts until ctx ends.
-func serveHosts(ctx context.Context, listener net.Listener, handler http.Handler) error {
+// serveHosts serves the calls of other hosts until ctx ends. Peers that are
+// refused in the handshake are logged.
+func serveHosts(ctx context.Context, listener net.Listener, handler http.Handler, log *slog.Logger) error {
 	server := newHostServer(handler)
+	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
--- /dev/null
+++ b/daemon/tls_test.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"lovageslip/admin"
+	"lovageslip/class"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/internal/testcert"
+	"lovageslip/settings"
+	"lovageslip/tlsconf"
+)
+
+// TestSiteWithTLSOnEveryEdge guards against a part that sends plaintext or
+// cannot reach its peers when TLS is on, and against peers that get in without
+// a certificate.
+func TestSiteWithTLSOnEveryEdge(t *testing.T) {
+	s := startSecureSite(t)
+	t.Run("reads and writes through every proxy", s.testStatements)
+	t.Run("changes through every control host", s.testChanges)
+	t.Run("no host has sent plaintext", s.testNoPlaintext)
+	t.Run("strangers are refused in the handshake", s.testStrangers)
+	t.Run("plaintext is refused", s.testPlaintext)
+	t.Run("announcement with a certificate", s.testAnnouncement)
+	t.Run("wrong password", s.testWrongPassword)
+	t.Run("change of primary", s.testChangeOfPrimary)
+	t.Run("no secret is logged", s.testNoSecretLogged)
+}
+
+// testStatements writes through both proxies: one of them is not the owner of
+// the primary and reaches it through the other.
+func (s *secureSite) testStatements(t *testing.T) {
+	for i := range siteProxies {
+		conn, err := s.connect(t.Context(), i, callerPassword, "filing")
+		assert.NilError(t, err)
+		defer conn.Close(context.Background())
+		_, err = conn.Exec(t.Context(), fmt.Sprintf("INSERT INTO entries VALUES (%d, 'encrypted')", i))
+		assert.NilError(t, err)
+		_, err = conn.Exec(t.Context(), "SET lovageslip.class = 'reading'")
+		assert.NilError(t, err)
+		var count int
+		assert.NilError(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM entries").Scan(&count))
+		assert.Equal(t, count, i+1)
+	}
+}
+
+func (s *secureSite) testChanges(t *testing.T) {
+	for i, address := range s.addresses(0, siteControls) {
+		client := admin.New(s.client, []string{address})
+		change := admin.Change{
+			ChangeID: fmt.Sprintf("through-%d", i), Operator: "test",
+			Class: class.Class{Name: "reading", Wait: time.Duration(i+1) * time.Second, Age: 30 * time.Second},
+		}
+		s.await("change through "+address, func(ctx context.Context) error {
+			_, err := client.ChangeClass(ctx, change)
+			return err
+		})
+		members, err := client.ListMembers(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(members.GetMembership().GetMembers()), siteControls)
+	}
+}
+
+func (s *secureSite) testNoPlaintext(t *testing.T) {
+	for _, port := range s.ports {
+		encrypted, plain := port.count()
+		assert.Assert(t, encrypted > 0, "no connection to %s", port.Addr())
+		assert.Equal(t, plain, 0, "plaintext to %s", port.Addr())
+	}
+}
+
+const intruder = `{"name":"intruder","database":"diary","address":"127.0.0.1:1","dataCentre":"luzon","role":"replica","term":"1","slots":5,"maxConnections":70}`
+
+func announce(client *http.Client, base, body string) (int, error) {
+	url := base + lovageslipv1connect.ControlServiceAnnounceProcedure
+	response, err := client.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+func (s *secureSite) assertUnknown(t *testing.T, upstream string) {
+	t.Helper()
+	status, err := s.admin.Status(t.Context())
+	assert.NilError(t, err)
+	for _, u := range status.GetUpstreams() {
+		assert.Assert(t, u.GetName() != upstream)
+	}
+}
+
+// testStrangers tries each host port over HTTP/1.1 and HTTP/2.
+func (s *secureSite) testStrangers(t *testing.T) {
+	foreign, err := tlsconf.Client(testcert.NewAuthority(t, "foreign").Issue(t, "stranger"))
+	assert.NilError(t, err)
+	foreign.RootCAs = s.withoutCertificate().RootCAs
+	for name, config := range map[string]*tls.Config{"without certificate": s.withoutCertificate(), "of another authority": foreign} {
+		for _, address := range s.addresses(0, len(s.ports)) {
+			clients := []*http.Client{tlsconf.HTTPClient(config), {Transport: &http.Transport{TLSClientConfig: config.Clone()}}}
+			for _, client := range clients {
+				_, err := announce(client, "https://"+address, intruder)
+				assert.Assert(t, err != nil, "%s is served by %s", name, address)
+				client.CloseIdleConnections()
+			}
+			s.assertRefusedInHandshake(t, config, address)
+		}
+	}
+	s.assertUnknown(t, "intruder")
+}
+
+// assertRefusedInHandshake connects without a request. In TLS 1.3 the client
+// learns of the refusal at its first read.
+func (s *secureSite) assertRefusedInHandshake(t *testing.T, config *tls.Config, address string) {
+	t.Helper()
+	dialer := &tls.Dialer{Config: config.Clone()}
+	conn, err := dialer.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(siteTimeout)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "remote error: tls:")
+}
+
+func (s *secureSite) testPlaintext(t *testing.T) {
+	for _, address := range s.addresses(0, len(s.ports)) {
+		code, err := announce(&http.Client{Transport: &http.Transport{}}, "http://"+address, intruder)
+		assert.Assert(t, err != nil || code == http.StatusBadRequest, "answered %d", code)
+		_, err = announce(tlsconf.HTTPClient(nil), "http://"+address, intruder)
+		assert.Assert(t, err != nil, "HTTP/2 without TLS is served by %s", address)
+		_, err = admin.New(tlsconf.HTTPClient(nil), []string{address}).Status(t.Context())
+		assert.Assert(t, err != nil, "operators are served in plaintext by %s", address)
+	}
+	s.assertUnknown(t, "intruder")
+	_, err := pgx.Connect(t.Context(), "postgres://app:"+callerPassword+"@"+s.callerTo[0]+"/diary?sslmode=disable")
+	assert.ErrorContains(t, err, "28000")
+}
+
+// testAnnouncement announces as an upstream does that has nothing but JSON
+// over HTTP/1.1 and a certificate.
+func (s *secureSite) testAnnouncement(t *testing.T) {
+	config, err := tlsconf.Client(s.hosts.Issue(t, "platform"))
+	assert.NilError(t, err)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	defer client.CloseIdleConnections()
+	body := strings.NewReplacer("intruder", "guest", `"diary"`, `"guests"`).Replace(intruder)
+	for _, address := range s.addresses(0, len(s.ports)) {
+		s.await("announcement to "+address, func(context.Context) error {
+			code, err := announce(client, "https://"+address, body)
+			if err == nil && code != http.StatusOK {
+				err = fmt.Errorf("answered %d", code)
+			}
+			return err
+		})
+	}
+}
+
+func (s *secureSite) testWrongPassword(t *testing.T) {
+	_, err := s.connect(t.Context(), 0, "not-"+callerPassword, "filing")
+	assert.ErrorContains(t, err, "28P01")
+	assert.Assert(t, !strings.Contains(err.Error(), callerPassword), "%v", err)
+}
+
+// testChangeOfPrimary makes control log in to the upstreams over TLS.
+func (s *secureSite) testChangeOfPrimary(t *testing.T) {
+	s.servers[0].Kill()
+	for i := range siteProxies {
+		s.awaitWrite(i)
+	}
+}
+
+func (s *secureSite) testNoSecretLogged(t *testing.T) {
+	log := s.log.String()
+	assert.Assert(t, strings.Contains(log, "caller refused"))
+	for _, secret := range []string{callerPassword, upstreamPassword} {
+		assert.Assert(t, !strings.Contains(log, secret))
+	}
+}
+
+// Guards against passwords over plaintext that nobody notices.
+func TestPasswordsWithoutTLSAreWarnedOf(t *testing.T) {
+	log := &logBuffer{}
+	s := &secureSite{log: log}
+	p := &proxy{settings: &settings.Proxy{Auth: settings.AuthSCRAM}, log: s.logger("proxy")}
+	p.warnOfPlaintext()
+	assert.Assert(t, strings.Contains(log.String(), "without TLS"))
+}
--- a/settings/key.go
+++ b/settings/key.go
@@ -27,6 +27,8 @@
 	allowedHosts    = "IP:port, separated by commas; at least one"
 	allowedKeyFile  = "a file of lines `number base64`, each key 32 bytes or more, the first one signs"
 	allowedPassword = "a file of lines `user:password`"
+	allowedUser     = "1 to 63 characters"
+	allowedBool     = "true, false"
 )
 
 // minKeyBytes is the size of the HMAC-SHA-256 block that a key should fill.
@@ -96,6 +98,16 @@
 	return auth, auth == AuthTrust || auth == AuthSCRAM
 }
 
+const maxUser = 63
+
+func parseUser(_ *parser, value string) (string, bool) {
+	return value, value != "" && len(value) <= maxUser
+}
+
+func parseBool(_ *parser, value string) (bool, bool) {
+	return value == "true", value == "true" || value == "false"
+}
+
 // durationBetween accepts durations from low to high.
 func durationBetween(low, high time.Duration) func(*parser, string) (time.Duration, bool) {
 	return func(_ *parser, value string) (time.Duration, bool) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,12 +6,9 @@
 import (
 	"fmt"
 	"log/slog"
-	"path/filepath"
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
 	"lovageslip/logging"
 )
 
@@ -52,6 +49,13 @@
 // On reports whether TLS is configured.
 func (t TLS) On() bool { return t.Certificate != "" || t.Authority != "" }
 
+// Upstreams holds how hosts log in to upstreams. The zero value is the default
+// user without a password.
+type Upstreams struct {
+	User     string
+	Password string
+}
+
 // Proxy holds the settings of a proxy host.
 type Proxy struct {
 	Name             string
@@ -64,6 +68,8 @@
 	TokenKeys        []TokenKey
 	Auth             Auth
 	Passwords        map[string]string
+	RequireTLS       bool // refuse callers without TLS
+	Upstreams        Upstreams
 	ShutdownDeadline time.Duration
 	Log              Log
 	TLSCallers       TLS
@@ -79,6 +85,7 @@
 	Metrics      string // IP number and port for metrics and health
 	Members      []Member
 	Data         string
+	Upstreams    Upstreams
 	Log          Log
 	TLSHosts     TLS
 	TLSUpstreams TLS
@@ -140,6 +147,9 @@
 	return KindProxy, err
 }
 
+// DefaultUpstreamUser is the user that hosts are to upstreams.
+const DefaultUpstreamUser = "lovageslip"
+
 const (
 	minShutdown = time.Second
 	maxShutdown = time.Hour
@@ -163,6 +173,8 @@
 	s.TokenKeys = required(p, "session", "key_file", allowedKeyFile, parseKeys)
 	s.Auth = optional(p, "callers", "auth", allowedAuth, AuthTrust, parseAuth)
 	s.Passwords = optional(p, "callers", "password_file", allowedPassword, nil, parsePasswords)
+	s.RequireTLS = optional(p, "callers", "require_tls", allowedBool, false, parseBool)
+	s.Upstreams = p.upstreams()
 	s.ShutdownDeadline = optional(p, "shutdown", "deadline", minShutdown.String()+" to "+maxShutdown.String(),
 		30*time.Second, durationBetween(minShutdown, maxShutdown))
 	s.Log = p.log()
@@ -172,6 +184,9 @@
 	if s.Auth == AuthSCRAM && len(s.Passwords) == 0 {
 		p.problem("callers", "password_file", "", "is required with auth = scram", allowedPassword)
 	}
+	if s.RequireTLS && !s.TLSCallers.On() {
+		p.problem("callers", "require_tls", "", "needs [tls_callers] certificate and key", "")
+	}
 	return s, p.finish()
 }
 
@@ -190,118 +205,9 @@
 	s.Metrics = optional(p, "listen", "metrics", allowedAddress, "", parseAddress)
 	s.Members = required(p, "control", "members", allowedMembers, parseMembers)
 	s.Data = required(p, "control", "data", allowedFolder, parseFolder)
+	s.Upstreams = p.upstreams()
 	s.Log = p.log()
 	s.TLSHosts = p.tls("tls_hosts", "certificate", "key", "authority")
 	s.TLSUpstreams = p.tls("tls_upstreams", "authority")
 	return s, p.finish()
 }
-
-type parser struct {
-	name     string
-	file     *ini.File
-	known    map[string]bool
-	problems Problems
-}
-
-func open(file string) (*parser, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, file)
-	if err != nil {
-		return nil, Problems{{File: file, Section: "-", Key: "-", Detail: err.Error()}}
-	}
-	return &parser{name: file, file: f, known: make(map[string]bool)}, nil
-}
-
-// path resolves a path relative to the settings file.
-func (p *parser) path(value string) string {
-	if filepath.IsAbs(value) {
-		return value
-	}
-	return filepath.Join(filepath.Dir(p.name), value)
-}
-
-func (p *parser) problem(section, key, value, detail, allowed string) {
-	p.problems = append(p.problems, &Problem{
-		File: p.name, Section: section, Key: key, Value: value, Detail: detail, Allowed: allowed,
-	})
-}
-
-func (p *parser) role(want Kind) {
-	p.known["host.role"] = true
-	role := p.file.Section("host").Key("role").String()
-	if role != string(want) {
-		p.problem("host", "role", role, "is not the role of this file", string(want))
-	}
-}
-
-func (p *parser) log() Log {
-	return Log{
-		Level:  optional(p, "log", "level", allowedLevel, slog.LevelInfo, parseLevel),
-		Format: optional(p, "log", "format", allowedFormat, logging.FormatText, parseFormat),
-	}
-}
-
-// tls reads a TLS section. Either all of its keys are set or none.
-func (p *parser) tls(section string, keys ...string) TLS {
-	values := make(map[string]string, len(keys))
-	for _, key := range keys {
-		values[key] = optional(p, section, key, allowedFile, "", parseFile)
-	}
-	set := 0
-	for _, key := range keys {
-		if p.file.Section(section).HasKey(key) {
-			set++
-		}
-	}
-	if set != 0 && set != len(keys) {
-		p.problem(section, strings.Join(keys, ", "), "", "must be set together", allowedFile)
-	}
-	return TLS{Certificate: values["certificate"], Key: values["key"], Authority: values["authority"]}
-}
-
-func (p *parser) finish() error {
-	for _, section := range p.file.Sections() {
-		for _, key := range section.Keys() {
-			p.checkKnown(section.Name(), key)
-		}
-	}
-	if len(p.problems) == 0 {
-		return nil
-	}
-	return p.problems
-}
-
-func (p *parser) checkKnown(section string, key *ini.Key) {
-	if !p.known[section+"."+key.Name()] {
-		p.problem(section, key.Name(), key.String(), "is not a known setting", "")
-	}
-	if len(key.ValueWithShadows()) > 1 {
-		p.problem(section, key.Name(), "", "is set more than once", "")
-	}
-}
-
-type parse[T any] func(*parser, string) (T, bool)
-
-func required[T any](p *parser, section, key, allowed string, parse parse[T]) T {
-	if !p.file.Section(section).HasKey(key) {
-		p.known[section+"."+key] = true
-		p.problem(section, key, "", "is required", allowed)
-		var zero T
-		return zero
-	}
-	var zero T
-	return optional(p, section, key, allowed, zero, parse)
-}
-
-func optional[T any](p *parser, section, key, allowed string, fallback T, parse parse[T]) T {
-	p.known[section+"."+key] = true
-	if !p.file.Section(section).HasKey(key) {
-		return fallback
-	}
-	text := p.file.Section(section).Key(key).String()
-	value, ok := parse(p, text)
-	if !ok {
-		p.problem(section, key, text, "is not valid:", allowed)
-		return fallback
-	}
-	return value
-}
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -125,9 +125,13 @@
 }
 
 type secureTransport struct {
-	next http.RoundTripper
+	next *http.Transport
 }
 
+// CloseIdleConnections lets http.Client.CloseIdleConnections reach the
+// transport.
+func (t *secureTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
 func (t *secureTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.URL.Scheme == "https" {
 		return t.next.RoundTrip(r)
