tlsconf: a separate authority for upstreams that announce themselves

With host TLS an upstream needs a client certificate to announce itself. A certificate of the hosts' authority would also let it vote, change classes and run statements. [tls_hosts] announcers names an authority whose certificates may call Announce and nothing else (403).

--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -156,7 +156,7 @@
 	defer stop()
 	tasks := pool.New().WithContext(parts).WithCancelOnError().WithFirstError()
 	tasks.Go(func(ctx context.Context) error { p.agent.Run(ctx); return nil })
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, mux, p.log) })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, p.settings.TLSHosts, mux, p.log) })
 	tasks.Go(func(ctx context.Context) error { return serveOps(ctx, p.settings.Metrics, metricsHandler, p.ready) })
 	tasks.Go(func(context.Context) error { return p.serveCallers(callers) })
 	tasks.Go(func(parts context.Context) error {
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -108,6 +108,7 @@
 type secureSite struct {
 	t         *testing.T
 	hosts     *testcert.Authority
+	announcer *testcert.Authority
 	callers   *testcert.Authority
 	upstreams *testcert.Authority
 	log       *logBuffer
@@ -122,7 +123,7 @@
 	t.Helper()
 	s := &secureSite{
 		t: t, hosts: testcert.NewAuthority(t, "hosts"), callers: testcert.NewAuthority(t, "callers"),
-		upstreams: testcert.NewAuthority(t, "upstreams"), log: &logBuffer{},
+		upstreams: testcert.NewAuthority(t, "upstreams"), announcer: testcert.NewAuthority(t, "announcers"), log: &logBuffer{},
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -195,7 +196,7 @@
 	}
 	control := &settings.Control{
 		Name: members[i].Name, DataCentre: "luzon", Hosts: members[i].Address, Members: members, Data: s.t.TempDir(),
-		TLSHosts: s.hosts.Issue(s.t, members[i].Name), TLSUpstreams: settings.TLS{Authority: s.upstreams.File},
+		TLSHosts: s.hostFiles(members[i].Name), TLSUpstreams: settings.TLS{Authority: s.upstreams.File},
 		Upstreams: settings.Upstreams{User: "proxy", Password: upstreamPassword},
 	}
 	s.run(control.Name, func(ctx context.Context) error {
@@ -212,7 +213,7 @@
 		Name: name, DataCentre: "luzon", Hosts: hosts.Addr().String(), Advertise: hosts.Addr().String(),
 		Control: s.addresses(0, siteControls), TokenKeys: []settings.TokenKey{key}, ShutdownDeadline: time.Second,
 		Auth: settings.AuthSCRAM, Passwords: map[string]string{"app": callerPassword}, RequireTLS: true,
-		TLSCallers: tlsCallers, TLSHosts: s.hosts.Issue(s.t, name), TLSUpstreams: settings.TLS{Authority: s.upstreams.File},
+		TLSCallers: tlsCallers, TLSHosts: s.hostFiles(name), TLSUpstreams: settings.TLS{Authority: s.upstreams.File},
 		Upstreams: settings.Upstreams{User: "proxy", Password: upstreamPassword},
 	}
 	s.callerTo = append(s.callerTo, callers.Addr().String())
@@ -221,8 +222,23 @@
 	})
 }
 
+// hostFiles are the certificate of a host and the authorities of its peers.
+func (s *secureSite) hostFiles(name string) settings.TLS {
+	files := s.hosts.Issue(s.t, name)
+	files.Announcers = s.announcer.File
+	return files
+}
+
+// announcerFiles are the certificate of an upstream that announces itself and
+// the authority of the hosts.
+func (s *secureSite) announcerFiles() settings.TLS {
+	files := s.announcer.Issue(s.t, "announcer")
+	files.Authority = s.hosts.File
+	return files
+}
+
 // startUpstream starts a stand-in that announces itself with a certificate of
-// the hosts' authority.
+// the announcers' authority.
 func (s *secureSite) startUpstream() {
 	s.t.Helper()
 	files := s.upstreams.Issue(s.t, "upstream")
@@ -231,7 +247,7 @@
 	options := standin.Options{
 		Name: fmt.Sprintf("%s-%d", siteDatabase, len(s.servers)+1), Database: siteDatabase, DataCentre: "luzon",
 		Slots: 5, MaxConnections: 70, TLS: config, Passwords: map[string]string{"proxy": upstreamPassword},
-		HTTPClient: s.httpClient(s.hosts.Issue(s.t, "announcer")),
+		HTTPClient: s.httpClient(s.announcerFiles()),
 	}
 	for _, address := range s.addresses(0, len(s.ports)) {
 		options.AnnounceTo = append(options.AnnounceTo, "https://"+address)
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"lovageslip/fault"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
 )
@@ -46,8 +47,12 @@
 
 // serveHosts serves the calls of other hosts until ctx ends. Peers that are
 // refused in the handshake are logged.
-func serveHosts(ctx context.Context, listener net.Listener, handler http.Handler, log *slog.Logger) error {
-	server := newHostServer(handler)
+func serveHosts(ctx context.Context, listener net.Listener, files settings.TLS, handler http.Handler, log *slog.Logger) error {
+	limited, err := tlsconf.LimitAnnouncers(files, lovageslipv1connect.ControlServiceAnnounceProcedure, handler)
+	if err != nil {
+		return err
+	}
+	server := newHostServer(limited)
 	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -32,6 +32,7 @@
 	t.Run("strangers are refused in the handshake", s.testStrangers)
 	t.Run("plaintext is refused", s.testPlaintext)
 	t.Run("announcement with a certificate", s.testAnnouncement)
+	t.Run("announcers only announce", s.testAnnouncersOnlyAnnounce)
 	t.Run("wrong password", s.testWrongPassword)
 	t.Run("change of primary", s.testChangeOfPrimary)
 	t.Run("no secret is logged", s.testNoSecretLogged)
@@ -152,7 +153,7 @@
 // testAnnouncement announces as an upstream does that has nothing but JSON
 // over HTTP/1.1 and a certificate.
 func (s *secureSite) testAnnouncement(t *testing.T) {
-	config, err := tlsconf.Client(s.hosts.Issue(t, "platform"))
+	config, err := tlsconf.Client(s.announcerFiles())
 	assert.NilError(t, err)
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
 	defer client.CloseIdleConnections()
@@ -168,6 +169,26 @@
 	}
 }
 
+// testAnnouncersOnlyAnnounce tries the other services with the certificate of
+// an upstream.
+func (s *secureSite) testAnnouncersOnlyAnnounce(t *testing.T) {
+	client := s.httpClient(s.announcerFiles())
+	for _, address := range s.addresses(0, len(s.ports)) {
+		for _, procedure := range []string{
+			lovageslipv1connect.ControlServiceStatusProcedure,
+			lovageslipv1connect.ControlServiceChangeClassProcedure,
+			lovageslipv1connect.ConsensusServiceAppendEntriesProcedure,
+			lovageslipv1connect.MemberServiceRemoveMemberProcedure,
+			lovageslipv1connect.ExchangeServiceRunProcedure,
+		} {
+			response, err := client.Post("https://"+address+procedure, "application/json", strings.NewReader("{}"))
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, http.StatusForbidden, "%s of %s", procedure, address)
+		}
+	}
+}
+
 func (s *secureSite) testWrongPassword(t *testing.T) {
 	_, err := s.connect(t.Context(), 0, "not-"+callerPassword, "filing")
 	assert.ErrorContains(t, err, "28P01")
--- a/settings/parser.go
+++ b/settings/parser.go
@@ -100,6 +100,16 @@
 	return TLS{Certificate: values["certificate"], Key: values["key"], Authority: values["authority"]}
 }
 
+// tlsHosts reads the TLS section of connections between hosts.
+func (p *parser) tlsHosts() TLS {
+	files := p.tls("tls_hosts", "certificate", "key", "authority")
+	files.Announcers = optional(p, "tls_hosts", "announcers", allowedFile, "", parseFile)
+	if files.Announcers != "" && !files.On() {
+		p.problem("tls_hosts", "announcers", "", "needs certificate, key and authority", "")
+	}
+	return files
+}
+
 func (p *parser) finish() error {
 	for _, section := range p.file.Sections() {
 		for _, key := range section.Keys() {
--- a/settings/security_test.go
+++ b/settings/security_test.go
@@ -22,14 +22,16 @@
 func TestLoginSettings(t *testing.T) {
 	more := "[callers]\nauth = scram\npassword_file = passwords\nrequire_tls = true\n" +
 		"[tls_callers]\ncertificate = keys\nkey = keys\n" +
-		"[upstreams]\nuser = proxy\npassword_file = passwords\n[tls_upstreams]\nauthority = keys\n"
+		"[upstreams]\nuser = proxy\npassword_file = passwords\n[tls_upstreams]\nauthority = keys\n" +
+		"[tls_hosts]\ncertificate = keys\nkey = keys\nauthority = keys\nannouncers = keys\n"
 	s, err := LoadProxy(writeWith(t, more, "app:with:colon\n\nproxy:"+secret+"\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Auth, AuthSCRAM)
 	assert.Equal(t, s.Passwords["app"], "with:colon")
 	assert.Assert(t, s.RequireTLS)
 	assert.Equal(t, s.Upstreams, Upstreams{User: "proxy", Password: secret})
-	assert.Assert(t, s.TLSUpstreams.On() && !s.TLSHosts.On())
+	assert.Assert(t, s.TLSUpstreams.On())
+	assert.Equal(t, s.TLSHosts.Announcers, filepath.Join(filepath.Dir(s.TLSHosts.Authority), "keys"))
 }
 
 func TestUpstreamLoginOfControlHost(t *testing.T) {
@@ -59,6 +61,7 @@
 		{"password in the settings", "[upstreams]\npassword = " + secret + "\n", "", `[upstreams] password: is not a known setting`},
 		{"password of callers in the settings", "[callers]\npassword = " + secret + "\n", "", `[callers] password: is not a known setting`},
 		{"TLS required and off", "[callers]\nrequire_tls = true\n", "", `[callers] require_tls: needs [tls_callers]`},
+		{"announcers without TLS", "[tls_hosts]\nannouncers = keys\n", "", `[tls_hosts] announcers: needs certificate`},
 		{"neither true nor false", "[callers]\nrequire_tls = yes\n", "", `[callers] require_tls: is not valid: "yes"; allowed: true, false`},
 		{"line that is no setting", secret + "\n", "", "a line has neither = nor :"},
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,9 @@
 	Certificate string
 	Key         string
 	Authority   string
+	// Announcers is the authority of upstreams that may announce themselves
+	// and nothing else; empty if upstreams have certificates of hosts.
+	Announcers string
 }
 
 // On reports whether TLS is configured.
@@ -179,7 +182,7 @@
 		30*time.Second, durationBetween(minShutdown, maxShutdown))
 	s.Log = p.log()
 	s.TLSCallers = p.tls("tls_callers", "certificate", "key")
-	s.TLSHosts = p.tls("tls_hosts", "certificate", "key", "authority")
+	s.TLSHosts = p.tlsHosts()
 	s.TLSUpstreams = p.tls("tls_upstreams", "authority")
 	if s.Auth == AuthSCRAM && len(s.Passwords) == 0 {
 		p.problem("callers", "password_file", "", "is required with auth = scram", allowedPassword)
@@ -207,7 +210,7 @@
 	s.Data = required(p, "control", "data", allowedFolder, parseFolder)
 	s.Upstreams = p.upstreams()
 	s.Log = p.log()
-	s.TLSHosts = p.tls("tls_hosts", "certificate", "key", "authority")
+	s.TLSHosts = p.tlsHosts()
 	s.TLSUpstreams = p.tls("tls_upstreams", "authority")
 	return s, p.finish()
 }
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -50,7 +50,7 @@
 		return config, nil
 	}
 	config.ClientAuth = tls.RequireAndVerifyClientCert
-	config.ClientCAs, err = authority(s.Authority)
+	config.ClientCAs, err = authority(s.Authority, s.Announcers)
 	return config, err
 }
 
@@ -76,14 +76,21 @@
 	return config, nil
 }
 
-func authority(file string) (*x509.CertPool, error) {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, &BadFile{File: file, Err: err}
-	}
+// authority returns the certificates of several files; an empty name is left
+// out.
+func authority(files ...string) (*x509.CertPool, error) {
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, &BadFile{File: file, Err: &fault.Invalid{Field: "authority", Value: file, Allowed: "PEM certificates"}}
+	for _, file := range files {
+		if file == "" {
+			continue
+		}
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return nil, &BadFile{File: file, Err: err}
+		}
+		if !pool.AppendCertsFromPEM(content) {
+			return nil, &BadFile{File: file, Err: &fault.Invalid{Field: "authority", Value: file, Allowed: "PEM certificates"}}
+		}
 	}
 	return pool, nil
 }
