--- a/caller/pgcaller/auth_test.go
+++ b/caller/pgcaller/auth_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"lovageslip/caller/pgcaller"
+	"lovageslip/fault"
 	"lovageslip/internal/testcert"
 	"lovageslip/pgscram"
 	"lovageslip/settings"
@@ -209,3 +210,27 @@
 	assert.NilError(t, err)
 	assert.NilError(t, c.Close(context.Background()))
 }
+
+// Guards against a cancel request over TLS that does not arrive.
+func TestCancelOverTLS(t *testing.T) {
+	authority := testcert.NewAuthority(t, "site")
+	running := make(chan struct{}, 1)
+	owner := &fakeOwner{}
+	owner.answer = func(context.Context, string, upstream.Sink) (bool, error) {
+		running <- struct{}{}
+		<-owner.cancels
+		return true, &fault.NotRun{Reason: fault.ReasonCancelled, Detail: "cancelled"}
+	}
+	h := startLocal(t, owner, withTLS(t, authority), func(o *pgcaller.Options) { o.RequireTLS = true })
+	c, err := login(t.Context(), h, "app", "", "sslmode=verify-full&lovageslip.class=report&sslrootcert="+authority.File)
+	assert.NilError(t, err)
+	defer c.Close(context.Background())
+	cancelled := make(chan error, 1)
+	go func() {
+		<-running
+		cancelled <- c.PgConn().CancelRequest(t.Context())
+	}()
+	_, err = c.PgConn().Exec(t.Context(), "select 1").ReadAll()
+	assertSQLState(t, err, "57014")
+	assert.NilError(t, <-cancelled)
+}
--- a/cmd/lovageslip-upstream/main.go
+++ b/cmd/lovageslip-upstream/main.go
@@ -13,7 +13,9 @@
 	"github.com/alecthomas/kong"
 
 	"lovageslip/logging"
+	"lovageslip/settings"
 	"lovageslip/standin"
+	"lovageslip/tlsconf"
 	"lovageslip/upstream"
 )
 
@@ -34,6 +36,13 @@
 	MaxConnections int           `help:"Sessions accepted; 0 for no limit." default:"70"`
 	Announce       []string      `help:"Base URLs of proxies or control hosts to announce to."`
 	Debug          bool          `help:"Log details."`
+
+	Certificate         string `help:"Certificate, PEM; sessions then need TLS." type:"existingfile"`
+	Key                 string `help:"Key of the certificate, PEM." type:"existingfile"`
+	PasswordFile        string `help:"File of lines user:password; users then log in by SCRAM-SHA-256." type:"existingfile"`
+	AnnounceCertificate string `help:"Client certificate for announcements, PEM." type:"existingfile"`
+	AnnounceKey         string `help:"Key of the client certificate, PEM." type:"existingfile"`
+	AnnounceAuthority   string `help:"Authority of the hosts' certificates, PEM; announcements then use TLS." type:"existingfile"`
 }
 
 func main() {
@@ -51,7 +60,11 @@
 }
 
 func run(f flags, log *slog.Logger) error {
-	server, err := standin.Start(options(f, log))
+	o, err := options(f, log)
+	if err != nil {
+		return err
+	}
+	server, err := standin.Start(o)
 	if err != nil {
 		return err
 	}
@@ -65,8 +78,8 @@
 	return server.AnnounceLeaving(leaving)
 }
 
-func options(f flags, log *slog.Logger) standin.Options {
-	return standin.Options{
+func options(f flags, log *slog.Logger) (standin.Options, error) {
+	o := standin.Options{
 		Log:            log,
 		Name:           f.Name,
 		Database:       f.Database,
@@ -82,4 +95,26 @@
 		MaxConnections: f.MaxConnections,
 		AnnounceTo:     f.Announce,
 	}
+	return o, secure(f, &o)
+}
+
+// secure sets what the flags say of TLS and passwords.
+func secure(f flags, o *standin.Options) error {
+	var err error
+	o.TLS, err = tlsconf.Server(settings.TLS{Certificate: f.Certificate, Key: f.Key})
+	if err != nil {
+		return err
+	}
+	files := settings.TLS{Certificate: f.AnnounceCertificate, Key: f.AnnounceKey, Authority: f.AnnounceAuthority}
+	client, err := tlsconf.Client(files)
+	if err != nil {
+		return err
+	}
+	if client != nil {
+		o.HTTPClient = tlsconf.HTTPClient(client)
+	}
+	if f.PasswordFile != "" {
+		o.Passwords, err = settings.ReadPasswords(f.PasswordFile)
+	}
+	return err
 }
--- a/settings/key.go
+++ b/settings/key.go
@@ -141,21 +141,49 @@
 }
 
 func parsePasswords(p *parser, value string) (map[string]string, bool) {
-	content, err := os.ReadFile(p.path(value))
+	passwords, err := ReadPasswords(p.path(value))
+	return passwords, err == nil
+}
+
+// BadPasswords reports a file of passwords that cannot be used. It shows
+// nothing of the file's contents.
+type BadPasswords struct {
+	File string
+	Line int // 0 if the file as a whole cannot be used
+}
+
+func (e *BadPasswords) Error() string {
+	if e.Line == 0 {
+		return e.File + ": cannot be read or has no passwords; allowed: " + allowedPassword
+	}
+	return e.File + ": line " + strconv.Itoa(e.Line) + " is not valid; allowed: " + allowedPassword
+}
+
+// ReadPasswords returns the passwords of a file by user. A password may contain
+// colons, but no spaces at its end. A user may occur once.
+// Errors: *BadPasswords.
+func ReadPasswords(file string) (map[string]string, error) {
+	content, err := os.ReadFile(file)
 	if err != nil {
-		return nil, false
+		return nil, &BadPasswords{File: file}
 	}
 	passwords := make(map[string]string)
+	number := 0
 	for line := range strings.Lines(string(content)) {
+		number++
 		line = strings.TrimSpace(line)
 		if line == "" {
 			continue
 		}
 		user, password, found := strings.Cut(line, ":")
-		if !found || user == "" || password == "" {
-			return nil, false
+		_, repeated := passwords[user]
+		if !found || repeated || user == "" || password == "" {
+			return nil, &BadPasswords{File: file, Line: number}
 		}
 		passwords[user] = password
 	}
-	return passwords, len(passwords) > 0
+	if len(passwords) == 0 {
+		return nil, &BadPasswords{File: file}
+	}
+	return passwords, nil
 }
--- a/settings/security_test.go
+++ b/settings/security_test.go
@@ -56,6 +56,7 @@
 	}{
 		{"line without a colon", callers, "app:x\n" + secret + "\n", `[callers] password_file: is not valid: "passwords"`},
 		{"user without password", callers, secret + ":\n", `[callers] password_file: is not valid: "passwords"`},
+		{"user twice", callers, "app:x\napp:" + secret + "\n", `[callers] password_file: is not valid: "passwords"`},
 		{"empty file", callers, "\n", `[callers] password_file: is not valid: "passwords"`},
 		{"other users only", upstreams, "app:" + secret, `[upstreams] password_file: has no password of user lovageslip`},
 		{"password in the settings", "[upstreams]\npassword = " + secret + "\n", "", `[upstreams] password: is not a known setting`},
@@ -85,3 +86,12 @@
 	assert.ErrorContains(t, err, file)
 	assert.Assert(t, !strings.Contains(err.Error(), secret), "%v", err)
 }
+
+// Guards against a report that does not say which line is wrong.
+func TestBadPasswordLineIsNamed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "passwords")
+	assert.NilError(t, os.WriteFile(file, []byte("app:x\n\n"+secret+"\n"), 0o600))
+	_, err := ReadPasswords(file)
+	assert.ErrorContains(t, err, file+": line 3")
+	assert.Assert(t, !strings.Contains(err.Error(), secret), "%v", err)
+}
