--- a/caller/pgcaller/forward.go
+++ b/caller/pgcaller/forward.go
@@ -5,26 +5,28 @@
 	"net/http"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/types/known/emptypb"
-	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	lovageslipv1 "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/registry"
 )
 
-// cancelProcedure takes a key, the process id in the upper half.
-const cancelProcedure = "/lovageslip.v1.CallerService/Cancel"
+// CancelHandler returns the path and the HTTP handler of CallerService, which
+// takes cancel requests that arrived at other proxies.
+func (s *Server) CancelHandler() (string, http.Handler) {
+	return lovageslipv1connect.NewCallerServiceHandler(&cancelService{server: s})
+}
 
-const secretBits = 32
+type cancelService struct {
+	server *Server
+}
 
-// CancelHandler returns the path and the HTTP handler that takes cancel
-// requests from other hosts.
-func (s *Server) CancelHandler() (string, http.Handler) {
-	cancel := func(ctx context.Context, request *connect.Request[wrapperspb.UInt64Value]) (*connect.Response[emptypb.Empty], error) {
-		value := request.Msg.GetValue()
-		s.Cancel(ctx, uint32(value>>secretBits), uint32(value))
-		return connect.NewResponse(&emptypb.Empty{}), nil
-	}
-	return cancelProcedure, connect.NewUnaryHandler(cancelProcedure, cancel)
+// CancelRequest implements CallerService. An unknown key is no error, as in
+// the callers' protocol: the answer must not tell whether a key exists.
+func (c *cancelService) CancelRequest(ctx context.Context, r *connect.Request[lovageslipv1.CancelCallerRequest],
+) (*connect.Response[lovageslipv1.CancelCallerResponse], error) {
+	c.server.Cancel(ctx, r.Msg.GetProcess(), r.Msg.GetSecret())
+	return connect.NewResponse(&lovageslipv1.CancelCallerResponse{}), nil
 }
 
 // NewCancelForwarder returns a forwarder that sends cancel requests to the
@@ -36,22 +38,17 @@
 		if view == nil {
 			return nil
 		}
-		value := uint64(process)<<secretBits | uint64(secret)
+		request := &lovageslipv1.CancelCallerRequest{Process: process, Secret: secret}
 		var last error
 		for _, h := range view.Hosts {
 			if h.Name == ownName || HostHash(h.Name) != host {
 				continue
 			}
-			if err := forwardCancel(ctx, client, scheme+"://"+h.Address, value); err != nil {
+			service := lovageslipv1connect.NewCallerServiceClient(client, scheme+"://"+h.Address)
+			if _, err := service.CancelRequest(ctx, connect.NewRequest(request)); err != nil {
 				last = err
 			}
 		}
 		return last
 	}
 }
-
-func forwardCancel(ctx context.Context, client *http.Client, base string, value uint64) error {
-	call := connect.NewClient[wrapperspb.UInt64Value, emptypb.Empty](client, base+cancelProcedure)
-	_, err := call.CallUnary(ctx, connect.NewRequest(wrapperspb.UInt64(value)))
-	return err
-}
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -17,7 +17,6 @@
 	"lovageslip/exchange"
 	"lovageslip/fault"
 	lovageslipv1 "lovageslip/gen/lovageslip/v1"
-	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/logging"
 	"lovageslip/member"
 	"lovageslip/metrics"
@@ -26,7 +25,6 @@
 	"lovageslip/session"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
-	"lovageslip/upstream/pgupstream"
 )
 
 // Listeners are the open listeners of a proxy; a nil one is opened on the
@@ -80,13 +78,21 @@
 	if err != nil {
 		return nil, err
 	}
+	authenticator, err := newAuthenticator(s)
+	if err != nil {
+		return nil, err
+	}
+	dialer, err := newDialer(s.Upstreams, s.TLSUpstreams, log, scope)
+	if err != nil {
+		return nil, err
+	}
 	signer, err := newSigner(s.TokenKeys)
 	if err != nil {
 		return nil, err
 	}
-	httpClient := tlsconf.HTTPClient(hosts.client, nil)
+	httpClient := tlsconf.HTTPClient(hosts.client)
 	control := scope.SubScope("control")
-	controlClient := tlsconf.HTTPClient(hosts.client, &tlsconf.Meter{
+	controlClient := tlsconf.MeteredHTTPClient(hosts.client, &tlsconf.Meter{
 		Sent: control.Counter("sent_bytes_total"), Received: control.Counter("received_bytes_total"),
 	})
 	p := &proxy{settings: s, log: logging.For(log, "daemon"), scope: scope}
@@ -96,7 +102,7 @@
 	})
 	p.owner = owner.New(owner.Options{
 		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
-		Dialer: pgupstream.NewDialer(pgupstream.Options{Log: log, Metrics: scope}),
+		Dialer: dialer,
 	})
 	p.exchanges = exchange.NewDrainableServer(p.owner)
 	p.client = exchange.NewClient(exchange.ClientOptions{HTTP: httpClient, Log: log, Metrics: scope})
@@ -107,7 +113,9 @@
 			Directory: p.agent, Gateway: gateway, Router: router, Tokens: signer,
 			HostName: s.Name, DataCentre: s.DataCentre, Log: log, Metrics: scope,
 		}),
-		TLS: callerTLS, ForwardCancel: forwardCancel(p.agent, httpClient), Log: log, Metrics: scope,
+		Authenticator: authenticator, TLS: callerTLS, RequireTLS: s.RequireTLS,
+		ForwardCancel: pgcaller.NewCancelForwarder(p.agent, s.Name, "http", httpClient),
+		Log:           log, Metrics: scope,
 	})
 	return p, nil
 }
@@ -147,7 +155,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(p.exchanges.Handler())
 	mux.Handle(p.agent.AnnounceHandler())
-	mux.Handle(lovageslipv1connect.NewCallerServiceHandler(&cancelService{proxy: p}))
+	mux.Handle(p.callers.CancelHandler())
 
 	// The parts outlive ctx: they stop only after the shutdown has let
 	// everything in flight finish.
@@ -155,7 +163,7 @@
 	defer stop()
 	tasks := pool.New().WithContext(parts).WithCancelOnError().WithFirstError()
 	tasks.Go(func(ctx context.Context) error { p.agent.Run(ctx); return nil })
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, mux) })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, p.settings.TLSHosts, mux, p.log) })
 	tasks.Go(func(ctx context.Context) error { return serveOps(ctx, p.settings.Metrics, metricsHandler, p.ready) })
 	tasks.Go(func(context.Context) error { return p.serveCallers(callers) })
 	tasks.Go(func(parts context.Context) error {
@@ -166,6 +174,7 @@
 		defer stop()
 		return p.shutdown()
 	})
+	p.warnOfPlaintext()
 	p.log.Info("proxy started", "host", p.settings.Name, "callers", callers.Addr(), "hosts", hosts.Addr())
 	return tasks.Wait()
 }
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 
 	"lovageslip/fault"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
 )
@@ -43,9 +45,15 @@
 	return tls.NewListener(listener, config)
 }
 
-// serveHosts serves the calls of other hosts until ctx ends.
-func serveHosts(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := newHostServer(handler)
+// serveHosts serves the calls of other hosts until ctx ends. Peers that are
+// refused in the handshake are logged.
+func serveHosts(ctx context.Context, listener net.Listener, files settings.TLS, handler http.Handler, log *slog.Logger) error {
+	limited, err := tlsconf.LimitAnnouncers(files, lovageslipv1connect.ControlServiceAnnounceProcedure, handler)
+	if err != nil {
+		return err
+	}
+	server := newHostServer(limited)
+	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
--- a/tlsconf/tlsconf.go
+++ b/tlsconf/tlsconf.go
@@ -51,7 +51,7 @@
 		return config, nil
 	}
 	config.ClientAuth = tls.RequireAndVerifyClientCert
-	config.ClientCAs, err = authority(s.Authority)
+	config.ClientCAs, err = authority(s.Authority, s.Announcers)
 	return config, err
 }
 
@@ -77,14 +77,21 @@
 	return config, nil
 }
 
-func authority(file string) (*x509.CertPool, error) {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, &BadFile{File: file, Err: err}
-	}
+// authority returns the certificates of several files; an empty name is left
+// out.
+func authority(files ...string) (*x509.CertPool, error) {
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, &BadFile{File: file, Err: &fault.Invalid{Field: "authority", Value: file, Allowed: "PEM certificates"}}
+	for _, file := range files {
+		if file == "" {
+			continue
+		}
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return nil, &BadFile{File: file, Err: err}
+		}
+		if !pool.AppendCertsFromPEM(content) {
+			return nil, &BadFile{File: file, Err: &fault.Invalid{Field: "authority", Value: file, Allowed: "PEM certificates"}}
+		}
 	}
 	return pool, nil
 }
@@ -120,9 +127,12 @@
 
 // HTTPClient returns a client for connections to other hosts. A nil config
 // means plaintext; otherwise every request goes over TLS, whatever the scheme
-// of its URL, so that no part can send plaintext by mistake. A nil meter counts
-// nothing.
-func HTTPClient(config *tls.Config, meter *Meter) *http.Client {
+// of its URL, so that no part can send plaintext by mistake.
+func HTTPClient(config *tls.Config) *http.Client { return MeteredHTTPClient(config, nil) }
+
+// MeteredHTTPClient is HTTPClient with a meter that counts the bytes of its
+// connections; nil counts nothing.
+func MeteredHTTPClient(config *tls.Config, meter *Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		TLSClientConfig: config,
@@ -160,9 +170,13 @@
 }
 
 type secureTransport struct {
-	next http.RoundTripper
+	next *http.Transport
 }
 
+// CloseIdleConnections lets http.Client.CloseIdleConnections reach the
+// transport.
+func (t *secureTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
 func (t *secureTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.URL.Scheme == "https" {
 		return t.next.RoundTrip(r)
