--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -134,6 +134,15 @@
 
 // newCluster starts the named hosts, which form a cluster.
 func newCluster(t testing.TB, names ...string) *cluster {
+	c := plannedCluster(t, names...)
+	for _, h := range c.hosts {
+		h.start()
+	}
+	return c
+}
+
+// plannedCluster starts nothing yet.
+func plannedCluster(t testing.TB, names ...string) *cluster {
 	c := &cluster{t: t, dir: t.TempDir()}
 	var members []Member
 	for _, name := range names {
@@ -142,7 +151,6 @@
 	}
 	for _, h := range c.hosts {
 		h.options.InitialMembers = members
-		h.start()
 	}
 	t.Cleanup(c.stop)
 	return c
--- a/consensus/disk.go
+++ b/consensus/disk.go
@@ -121,6 +121,9 @@
 			return err
 		}
 	}
+	if compact > 0 {
+		n.preamble[2] = snapshotMark(compact)
+	}
 	if compact > 0 || n.wal.Full() {
 		if err := n.wal.Rotate(n.preamble); err != nil {
 			return err
--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -146,6 +147,22 @@
 	})
 }
 
+// Guards against a host that takes itself for a new voter after its snapshot
+// was lost.
+func TestMissingSnapshotIsReported(t *testing.T) {
+	c := newCluster(t, "a")
+	h := c.hosts[0]
+	proposeMany(t, h, 1000)
+	waitFor(t, "a snapshot", func() bool { return h.node.Status().Snapshot > 0 })
+	h.stop()
+	files, err := filepath.Glob(filepath.Join(h.options.DataDir, "*.snapshot"))
+	assert.NilError(t, err)
+	assert.NilError(t, os.Remove(files[0]))
+	var bad *BadLog
+	err = h.tryStart()
+	assert.Check(t, errors.As(err, &bad), "%v", err)
+}
+
 // Guards against a host with a full disk that goes on voting, acknowledging or
 // leading.
 func TestFullDiskStopsTheHostOnly(t *testing.T) {
@@ -179,7 +196,8 @@
 	d, e := c.newHost("d"), c.newHost("e")
 	d.start()
 	e.start()
-	leader.propose(1)
+	// d catches up from a snapshot.
+	proposeMany(t, leader, 1600)
 	for _, fs := range gates {
 		fs.gate.Lock()
 	}
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -125,6 +125,15 @@
 	return wire
 }
 
+// wireMessage returns the message of a peer's error without its code.
+func wireMessage(err error) string {
+	var wire *connect.Error
+	if errors.As(err, &wire) {
+		return wire.Message()
+	}
+	return err.Error()
+}
+
 func notRunFromWire(err error) error {
 	var wire *connect.Error
 	if !errors.As(err, &wire) {
@@ -150,7 +159,7 @@
 	case fromServer && code == codeNotRun:
 		return notRunFromWire(err)
 	case fromServer && code == codeRefused:
-		return &ChangeRefused{Member: member, Detail: err.Error()}
+		return &ChangeRefused{Member: member, Detail: wireMessage(err)}
 	case errors.As(err, &op) && op.Op == "dial":
 		return noLeader("leader not reachable: " + err.Error())
 	case ctx.Err() != nil:
--- a/consensus/formation_test.go
+++ b/consensus/formation_test.go
@@ -8,6 +8,34 @@
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
+// Guards against entries that don't continue the snapshot being taken for its
+// continuation after a crash while the snapshot was installed.
+func TestRecoveryJoinsLogAndSnapshot(t *testing.T) {
+	for _, test := range []struct {
+		snapshot, snapshotTerm, first, last uint64
+		kept                                uint64
+		refused                             bool
+	}{
+		{snapshot: 0, first: 1, last: 5, kept: 5},
+		{snapshot: 3, snapshotTerm: 1, first: 1, last: 5, kept: 2},
+		{snapshot: 3, snapshotTerm: 2, first: 1, last: 5, kept: 0},
+		{snapshot: 9, snapshotTerm: 2, first: 1, last: 5, kept: 0},
+		{snapshot: 3, snapshotTerm: 2, first: 4, last: 5, kept: 2},
+		{snapshot: 3, snapshotTerm: 2, first: 5, last: 6, refused: true},
+		{snapshot: 0, first: 2, last: 5, refused: true},
+	} {
+		r := &recovered{meta: &pb.SnapshotMeta{Index: test.snapshot, Term: test.snapshotTerm}}
+		for i := test.first; i <= test.last; i++ {
+			assert.NilError(t, r.replay(entryRecord(&pb.Entry{Index: i, Term: 1})))
+		}
+		assert.Equal(t, r.joinSnapshot() != nil, test.refused, "%+v", test)
+		if !test.refused {
+			assert.Equal(t, uint64(len(r.entries.entries)), test.kept, "%+v", test)
+			assert.Equal(t, r.entries.lastIndex(), test.snapshot+test.kept)
+		}
+	}
+}
+
 // Guards against a wiped host, whose log is empty as that of a new one, that
 // votes for a candidate that lacks what this host had acknowledged.
 func TestEmptyHostVotesOnlyToFormACluster(t *testing.T) {
@@ -46,20 +74,13 @@
 // Guards against a cluster that can't form after its first leader crashed
 // between logging the first membership and replicating it.
 func TestFormationGoesOnAfterACrash(t *testing.T) {
-	c := &cluster{t: t, dir: t.TempDir()}
-	var members []Member
-	for _, name := range []string{"a", "b", "c"} {
-		h := c.newHost(name)
-		members = append(members, Member{Name: name, Address: h.address})
-	}
+	c := plannedCluster(t, "a", "b", "c")
 	for _, h := range c.hosts {
 		fs := &faultyFS{}
 		fs.noEntries.Store(h.options.Name != "a")
 		h.options.FS = fs
-		h.options.InitialMembers = members
 		h.start()
 	}
-	t.Cleanup(c.stop)
 	<-c.host("b").node.Failed()
 	<-c.host("c").node.Failed()
 	for _, h := range c.hosts {
--- a/consensus/freeze_test.go
+++ b/consensus/freeze_test.go
@@ -77,27 +77,24 @@
 }
 
 type child struct {
-	address string
-	command *exec.Cmd
+	settings childSettings
+	address  string
+	command  *exec.Cmd
 }
 
 func startChildren(t *testing.T) []*child {
-	c := &cluster{t: t, dir: t.TempDir()}
-	var members []Member
-	for _, name := range []string{"a", "b", "c"} {
-		h := c.newHost(name)
-		members = append(members, Member{Name: name, Address: h.address})
-	}
 	var children []*child
-	for _, h := range c.hosts {
-		s := childSettings{Name: h.options.Name, Address: h.address, DataDir: h.options.DataDir, Members: members}
-		children = append(children, startChild(t, s))
+	for _, h := range plannedCluster(t, "a", "b", "c").hosts {
+		s := childSettings{h.options.Name, h.address, h.options.DataDir, h.options.InitialMembers}
+		c := &child{settings: s, address: s.Address}
+		c.start(t)
+		children = append(children, c)
 	}
 	return children
 }
 
-func startChild(t *testing.T, s childSettings) *child {
-	encoded, err := json.Marshal(s)
+func (c *child) start(t *testing.T) {
+	encoded, err := json.Marshal(c.settings)
 	assert.NilError(t, err)
 	command := exec.Command(os.Args[0], "-test.run=^$")
 	command.Env = append(os.Environ(), childVariable+"="+string(encoded))
@@ -105,11 +102,33 @@
 	_, err = command.StdinPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, command.Start())
+	c.command = command
 	t.Cleanup(func() {
-		assert.Check(t, command.Process.Kill())
+		command.Process.Kill()
 		command.Wait()
 	})
-	return &child{address: s.Address, command: command}
+}
+
+// Guards against acknowledged changes that were only in memory when all
+// processes were killed at once.
+func TestKilledProcessesLoseNothing(t *testing.T) {
+	children := startChildren(t)
+	for round := range 4 {
+		value := strconv.Itoa(round + 1)
+		write(t, children[round%len(children)], value)
+		for _, c := range children {
+			assert.NilError(t, c.command.Process.Kill())
+		}
+		for _, c := range children {
+			c.command.Wait()
+			c.start(t)
+		}
+		waitFor(t, "a read", func() bool {
+			body, ok := children[0].ok("/read")
+			assert.Check(t, !ok || body == value, "read %q, want %s", body, value)
+			return ok
+		})
+	}
 }
 
 func (c *child) get(ctx context.Context, path string) (int, string, error) {
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -86,6 +86,10 @@
 func (n *Node) Members() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.membersLocked()
+}
+
+func (n *Node) membersLocked() []Member {
 	var members []Member
 	for _, m := range n.members.Members {
 		members = append(members, Member{Name: m.Name, Address: m.Address, Voter: m.Voter, Incarnation: m.Incarnation})
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -169,6 +169,7 @@
 	n.group.Go(func() { n.runDisk(n.ctx) })
 	n.group.Go(func() { n.runApply(n.ctx) })
 	n.group.Go(func() { n.runElections(n.ctx) })
+	n.group.Go(func() { n.runGauges(n.ctx) })
 	return n, nil
 }
 
@@ -207,6 +208,7 @@
 	n.preamble = []wal.Record{
 		{Kind: kindIdentity, Data: encode(state.identity)},
 		{Kind: kindHardState, Data: encode(state.hard)},
+		snapshotMark(state.meta.Index),
 	}
 	if err := n.writePreamble(state); err != nil {
 		return err
--- a/consensus/silent_test.go
+++ b/consensus/silent_test.go
@@ -92,21 +92,16 @@
 // Guards against a cluster that waits for ever on connections that went silent
 // while new connections work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
-	c := &cluster{t: t, dir: t.TempDir()}
+	c := plannedCluster(t, "a", "b", "c")
 	var relays []*relay
-	var members []Member
-	for _, name := range []string{"a", "b", "c"} {
-		h := c.newHost(name)
-		members = append(members, Member{Name: name, Address: h.address})
+	for _, h := range c.hosts {
 		public := h.address
 		h.address = freeAddress(t)
 		relays = append(relays, startRelay(t, public, h.address))
 	}
 	for _, h := range c.hosts {
-		h.options.InitialMembers = members
 		h.start()
 	}
-	t.Cleanup(c.stop)
 	c.leader().propose(1)
 	for round := range uint64(3) {
 		for _, r := range relays {
--- a/consensus/storage.go
+++ b/consensus/storage.go
@@ -11,7 +11,7 @@
 )
 
 // Kinds of records in the write-ahead log. Each segment starts with an
-// identity and a hard state.
+// identity, a hard state and a snapshot mark.
 const (
 	kindIdentity  uint8 = 1
 	kindHardState uint8 = 2
@@ -19,6 +19,9 @@
 	// kindReset drops all entries before it; they were replaced by the
 	// snapshot that the record names.
 	kindReset uint8 = 4
+	// kindSnapshot marks that a snapshot at this index or later exists, so
+	// that the loss of its file is noticed.
+	kindSnapshot uint8 = 5
 )
 
 // recovered is what a data folder holds.
@@ -31,6 +34,8 @@
 	// discarded is set if entries were dropped in favour of the snapshot, so
 	// that a reset must be logged before further entries.
 	discarded bool
+	// needed is the index of the snapshot that must exist.
+	needed uint64
 }
 
 // recoverState reads the snapshot and replays the records.
@@ -70,6 +75,11 @@
 	case kindReset:
 		r.entries = entryLog{}
 		return decode(record.Data, &pb.SnapshotMeta{})
+	case kindSnapshot:
+		mark := &pb.SnapshotMeta{}
+		err := decode(record.Data, mark)
+		r.needed = max(r.needed, mark.Index)
+		return err
 	case kindEntry:
 		return r.replayEntry(record.Data)
 	default:
@@ -101,6 +111,9 @@
 // joinSnapshot drops the entries that the snapshot covers, or all of them if
 // they don't continue the snapshot.
 func (r *recovered) joinSnapshot() error {
+	if r.needed > r.meta.Index {
+		return &BadLog{Detail: "the snapshot is missing"}
+	}
 	l := &r.entries
 	if len(l.entries) == 0 {
 		l.reset(r.meta)
@@ -164,4 +177,8 @@
 	return meta, rest[length:], nil
 }
 
+func snapshotMark(index uint64) wal.Record {
+	return wal.Record{Kind: kindSnapshot, Data: encode(&pb.SnapshotMeta{Index: index})}
+}
+
 func newIncarnation() string { return rand.Text() }
--- a/consensus/timing.go
+++ b/consensus/timing.go
@@ -23,6 +23,8 @@
 	// leaderPollMax is the longest pause between two looks for a leader.
 	leaderPollMax = 40 * time.Millisecond
 
+	gaugeInterval = time.Second
+
 	dialTimeout = time.Second
 	pingAfter   = 300 * time.Millisecond
 	pingTimeout = 300 * time.Millisecond
