--- a/control/assign.go
+++ b/control/assign.go
@@ -58,7 +58,7 @@
 }
 
 func (l *leadership) assign(a assignment) {
-	if !l.leases.take(a.upstream, l.server.timing.now()) {
+	if !l.leases.reserve(a.upstream, l.server.timing.now()) {
 		return
 	}
 	applied, err := l.Propose(l.ctx, &pb.Command{Command: &pb.Command_Assign{Assign: &pb.AssignOwner{
--- a/control/balance.go
+++ b/control/balance.go
@@ -15,7 +15,7 @@
 	if !known || len(l.candidates(frame, l.alive(l.server.timing.now())).hosts) < 2 {
 		return
 	}
-	l.server.metrics.Counter("blind_owners_total").Inc(1)
+	l.server.metrics.Counter("owners_dropped_total").Inc(1)
 	l.server.log.Warn("owner does not reach its upstream", "upstream", name, "owner", u.GetOwner())
 	l.leases.stop(u)
 }
--- a/control/leases.go
+++ b/control/leases.go
@@ -107,9 +107,9 @@
 	return !now.Before(e.until)
 }
 
-// take reserves u for a new owner under the next epoch, if it is free. From
+// reserve keeps u for a new owner under the next epoch, if it is free. From
 // then on the old epoch is never renewed, even if the proposal fails.
-func (t *leaseTable) take(u *pb.Upstream, now time.Time) bool {
+func (t *leaseTable) reserve(u *pb.Upstream, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.isFree(u, now) {
--- a/controlstate/classes.go
+++ b/controlstate/classes.go
@@ -171,23 +171,23 @@
 	return names
 }
 
-// answerBook keeps the first answers of the latest change ids, oldest first.
-type answerBook struct {
+// answerCache keeps the first answers of the latest change ids, oldest first.
+type answerCache struct {
 	limit int
 	order []string
 	byID  map[string]*pb.ChangeClassResponse
 }
 
-func newAnswerBook(limit int) *answerBook {
-	return &answerBook{limit: limit, byID: map[string]*pb.ChangeClassResponse{}}
+func newAnswerCache(limit int) *answerCache {
+	return &answerCache{limit: limit, byID: map[string]*pb.ChangeClassResponse{}}
 }
 
-func (b *answerBook) get(id string) (*pb.ChangeClassResponse, bool) {
+func (b *answerCache) get(id string) (*pb.ChangeClassResponse, bool) {
 	r, ok := b.byID[id]
 	return r, ok
 }
 
-func (b *answerBook) put(id string, r *pb.ChangeClassResponse) {
+func (b *answerCache) put(id string, r *pb.ChangeClassResponse) {
 	b.byID[id] = r
 	b.order = append(b.order, id)
 	if len(b.order) <= b.limit {
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -41,7 +41,7 @@
 	groups        map[string]*pb.Group
 	hosts         map[string]*pb.Host
 	history       []*pb.ClassChange
-	answers       *answerBook
+	answers       *answerCache
 	frame         *Frame // nil if older than version
 	changed       chan struct{}
 }
@@ -63,7 +63,7 @@
 	s.groups = map[string]*pb.Group{}
 	s.hosts = map[string]*pb.Host{}
 	s.history = nil
-	s.answers = newAnswerBook(maxAnswers)
+	s.answers = newAnswerCache(maxAnswers)
 	s.frame = nil
 }
 
--- a/controlstate/upstreams.go
+++ b/controlstate/upstreams.go
@@ -93,7 +93,7 @@
 	s.hosts[h.GetName()] = proto.CloneOf(h)
 	s.bump()
 	if known && current.GetIncarnation() != h.GetIncarnation() {
-		s.disown(h.GetName())
+		s.clearOwner(h.GetName())
 		return true
 	}
 	if known && current.GetAddress() != h.GetAddress() {
@@ -108,11 +108,11 @@
 	}
 	delete(s.hosts, name)
 	s.bump()
-	s.disown(name)
+	s.clearOwner(name)
 	return true
 }
 
-func (s *State) disown(host string) {
+func (s *State) clearOwner(host string) {
 	for _, u := range sortedValues(s.upstreams) {
 		if u.GetOwner() == host {
 			s.setOwner(u, "", "")
--- a/failover/calls.go
+++ b/failover/calls.go
@@ -46,17 +46,17 @@
 			return replies, nil
 		}
 		if late == nil && ok >= until.enough {
-			late = time.After(until.straggle)
+			late = time.After(until.extra)
 		}
 	}
 	return replies, nil
 }
 
 // stop says when ask need not wait for the remaining upstreams: enough have
-// done what they were asked, and straggle has passed since.
+// done what they were asked, and extra has passed since.
 type stop struct {
-	enough   int
-	straggle time.Duration
+	enough int
+	extra  time.Duration
 }
 
 // never makes ask wait for every upstream.
--- a/failover/change.go
+++ b/failover/change.go
@@ -76,7 +76,7 @@
 func (s *Supervisor) choose(ctx context.Context, frame *controlstate.Frame, g *pb.Group) error {
 	term := upstream.Term(g.GetTerm())
 	needed := majority(g)
-	replies, err := s.ask(ctx, membersOf(frame, g), askFence(term), stop{enough: needed, straggle: straggleTime})
+	replies, err := s.ask(ctx, membersOf(frame, g), askFence(term), stop{enough: needed, extra: extraWait})
 	if err != nil {
 		return err
 	}
--- a/failover/detect.go
+++ b/failover/detect.go
@@ -79,7 +79,7 @@
 	}
 	if reason != reasonNoContact && leads(replies, g) {
 		s.metrics.Counter("false_alarms_total").Inc(1)
-		s.dropBlindOwner(g.GetPrimary())
+		s.dropUnreachingOwner(g.GetPrimary())
 		return &FalseAlarm{Database: g.GetDatabase(), Primary: g.GetPrimary()}
 	}
 	if n := len(succeeded(replies)); n < majority(g) {
@@ -88,11 +88,11 @@
 	return s.begin(ctx, g, nextTerm(g, replies), reason)
 }
 
-// dropBlindOwner helps when the path from the owner to the primary is cut and
+// dropUnreachingOwner helps when the path from the owner to the primary is cut and
 // others are not.
-func (s *Supervisor) dropBlindOwner(primary string) {
+func (s *Supervisor) dropUnreachingOwner(primary string) {
 	report, fresh := s.freshReport(primary, s.now())
-	if fresh && !report.Reachable && report.Unreachable >= blindTime {
+	if fresh && !report.Reachable && report.Unreachable >= ownerDropTime {
 		s.journal.DropOwner(primary)
 	}
 }
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -46,9 +46,9 @@
 	// lossTime is how long a primary must be unreachable. A shorter time
 	// raises false alarms at 40 ms round trips with 20 ms jitter.
 	lossTime = time.Second
-	// blindTime is how long an owner may report a primary as unreachable that
+	// ownerDropTime is how long an owner may report a primary as unreachable that
 	// the leader reaches, before it is replaced as the owner.
-	blindTime = 3 * time.Second
+	ownerDropTime = 3 * time.Second
 	// reportAge is how old a report may be: three heartbeats.
 	reportAge = 1500 * time.Millisecond
 	// reportLag is how long after a change owners may still report what they
@@ -60,14 +60,14 @@
 	// electTime is longer than adoptTime: an election in a new group may
 	// discard what a member that is still silent holds.
 	electTime = 5 * time.Second
-	// straggleTime is how long answers beyond a majority are waited for.
-	straggleTime = 50 * time.Millisecond
-	// deadTime is how long a member must be unreachable to be removed. It
+	// extraWait is how long answers beyond a majority are waited for.
+	extraWait = 50 * time.Millisecond
+	// memberRemovalTime is how long a member must be unreachable to be removed. It
 	// becomes a member again when it returns.
-	deadTime = time.Minute
-	// goneTime is how long a leaving upstream must be unreachable until its
+	memberRemovalTime = time.Minute
+	// leavingRemovalTime is how long a leaving upstream must be unreachable until its
 	// registration is removed.
-	goneTime = time.Minute
+	leavingRemovalTime = time.Minute
 	// minMembers is how many members must remain when a dead one is removed.
 	minMembers = 3
 	// promoteTries is how often the chosen upstream is asked before the
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -282,7 +282,7 @@
 
 // An owner whose own path to the primary is cut for long must lose it to
 // another host, or writes would wait for ever.
-func TestOwnerThatStaysBlindIsDropped(t *testing.T) {
+func TestOwnerThatCannotReachThePrimaryIsDropped(t *testing.T) {
 	n, state := newNet("a", "b", "c"), newState("a", "b", "c")
 	j := newJournal(state, 2, nil)
 	s := failover.New(failover.Options{Dialer: &view{net: n}, Journal: j, LeaseExpiry: leaseExpiry})
--- a/failover/members.go
+++ b/failover/members.go
@@ -59,7 +59,7 @@
 		}
 	}
 	for _, name := range g.GetMembers() {
-		if name != g.GetPrimary() && (frame.Upstreams[name].GetLeaving() || s.isDead(g, name, now)) {
+		if name != g.GetPrimary() && (frame.Upstreams[name].GetLeaving() || s.isLongUnreachable(g, name, now)) {
 			return memberChange{upstream: name, remove: true}, true
 		}
 	}
@@ -81,12 +81,12 @@
 	return fresh && report.Reachable && uint64(report.Term) == g.GetTerm()
 }
 
-func (s *Supervisor) isDead(g *pb.Group, name string, now time.Time) bool {
+func (s *Supervisor) isLongUnreachable(g *pb.Group, name string, now time.Time) bool {
 	if len(g.GetMembers()) <= minMembers {
 		return false
 	}
 	report, fresh := s.freshReport(name, now)
-	return fresh && !report.Reachable && report.Unreachable >= deadTime
+	return fresh && !report.Reachable && report.Unreachable >= memberRemovalTime
 }
 
 // settle checks that a majority of the members holds what the primary had at
@@ -96,8 +96,8 @@
 	if err != nil {
 		return err
 	}
-	if w.floorTerm == g.GetTerm() {
-		if n := holding(replies, g, w.floor); n < majority(g) {
+	if w.settleTerm == g.GetTerm() {
+		if n := holding(replies, g, w.settlePosition); n < majority(g) {
 			return &NotSettled{Database: g.GetDatabase(), Reason: "no majority has caught up"}
 		}
 		s.remember(w.watch, func(f *groupFacts) { f.settled = true })
@@ -105,7 +105,7 @@
 	}
 	for _, r := range replies {
 		if r.name == g.GetPrimary() && leads(replies, g) {
-			s.remember(w.watch, func(f *groupFacts) { f.floor, f.floorTerm = r.status.Position(), g.GetTerm() })
+			s.remember(w.watch, func(f *groupFacts) { f.settlePosition, f.settleTerm = r.status.Position(), g.GetTerm() })
 			return nil
 		}
 	}
@@ -124,14 +124,14 @@
 }
 
 // changeMember logs a change after it has checked again that a majority
-// answers, and that a new member has caught up with the floor.
+// answers, and that a new member has caught up with settlePosition.
 func (s *Supervisor) changeMember(ctx context.Context, g *pb.Group, w groupFacts, change memberChange) error {
 	frame := s.journal.Frame()
 	replies, err := s.ask(ctx, membersOf(frame, g), askStatus, never)
 	if err != nil {
 		return err
 	}
-	if holding(replies, g, w.floor) < majority(g) {
+	if holding(replies, g, w.settlePosition) < majority(g) {
 		return &NotSettled{Database: g.GetDatabase(), Reason: "no majority has caught up"}
 	}
 	if !change.remove {
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	if holding(replies, g, w.floor) == 0 {
+	if holding(replies, g, w.settlePosition) == 0 {
 		return &NotSettled{Database: g.GetDatabase(), Reason: name + " has not caught up"}
 	}
 	return nil
@@ -171,7 +171,7 @@
 	ready := 0
 	for _, r := range replies {
 		if !frame.Upstreams[r.name].GetLeaving() {
-			ready += holding([]reply{r}, g, w.floor)
+			ready += holding([]reply{r}, g, w.settlePosition)
 		}
 	}
 	if ready == 0 || len(succeeded(replies)) < majority(g) {
@@ -187,7 +187,7 @@
 			continue
 		}
 		report, fresh := s.freshReport(u.GetName(), now)
-		if !fresh || report.Reachable || report.Unreachable < goneTime {
+		if !fresh || report.Reachable || report.Unreachable < leavingRemovalTime {
 			continue
 		}
 		return func(ctx context.Context) error {
--- a/failover/new.go
+++ b/failover/new.go
@@ -14,12 +14,12 @@
 	if waited < adoptTime {
 		return nil
 	}
-	return func(ctx context.Context) error { return s.found(ctx, g, waited >= electTime) }
+	return func(ctx context.Context) error { return s.findFirst(ctx, g, waited >= electTime) }
 }
 
-// found adopts the primary that leads already. If there is none, and a
+// findFirst adopts the primary that leads already. If there is none, and a
 // majority answers, it elects one by a change of primary.
-func (s *Supervisor) found(ctx context.Context, g *pb.Group, elect bool) error {
+func (s *Supervisor) findFirst(ctx context.Context, g *pb.Group, elect bool) error {
 	replies, err := s.ask(ctx, membersOf(s.journal.Frame(), g), askStatus, never)
 	if err != nil {
 		return err
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -16,23 +16,23 @@
 	if !registered {
 		return nil
 	}
-	var astray []*pb.Upstream
+	var targets []*pb.Upstream
 	for _, u := range followers(frame, g, g.GetPrimary()) {
 		report, fresh := s.freshReport(u.GetName(), now)
 		current := fresh && report.At.Sub(w.stepAt) >= reportLag && report.At.Sub(w.orderedAt) >= reportLag
-		if current && s.isAstray(g, report, now) {
-			astray = append(astray, u)
+		if current && s.needsFollowOrder(g, report, now) {
+			targets = append(targets, u)
 		}
 	}
-	if len(astray) == 0 {
+	if len(targets) == 0 {
 		return nil
 	}
-	return func(ctx context.Context) error { return s.repair(ctx, g, w, primary, astray) }
+	return func(ctx context.Context) error { return s.repair(ctx, g, w, primary, targets) }
 }
 
-// isAstray counts a replica without contact only while the primary is well,
+// needsFollowOrder counts a replica without contact only while the primary is reachable,
 // because otherwise the primary is at fault.
-func (s *Supervisor) isAstray(g *pb.Group, report Report, now time.Time) bool {
+func (s *Supervisor) needsFollowOrder(g *pb.Group, report Report, now time.Time) bool {
 	if !report.Reachable {
 		return false
 	}
@@ -43,16 +43,16 @@
 	return report.PrimaryContactAge >= lossTime && fresh && primary.Reachable
 }
 
-func (s *Supervisor) repair(ctx context.Context, g *pb.Group, w groupFacts, primary *pb.Upstream, astray []*pb.Upstream) error {
+func (s *Supervisor) repair(ctx context.Context, g *pb.Group, w groupFacts, primary *pb.Upstream, targets []*pb.Upstream) error {
 	order := askFollow(upstream.Term(g.GetTerm()), primary.GetAddress())
-	replies, err := s.ask(ctx, astray, order, never)
+	replies, err := s.ask(ctx, targets, order, never)
 	if err != nil {
 		return err
 	}
 	s.remember(w.watch, func(f *groupFacts) { f.orderedAt = s.now() })
 	s.metrics.Counter("follow_orders_total").Inc(int64(len(replies)))
 	if higher := highestFence(replies); uint64(higher) > g.GetTerm() {
-		return s.outbid(ctx, g, higher)
+		return s.changeAboveFence(ctx, g, higher)
 	}
 	for _, r := range replies {
 		s.log.Info("ordered to follow", "upstream", r.name, "term", g.GetTerm(), "primary", primary.GetName(), "err", r.err)
@@ -60,9 +60,9 @@
 	return nil
 }
 
-// outbid changes the primary at a term above one that an upstream has promised
+// changeAboveFence changes the primary at a term above one that an upstream has promised
 // to, because that upstream can join at no lower term.
-func (s *Supervisor) outbid(ctx context.Context, g *pb.Group, higher upstream.Term) error {
+func (s *Supervisor) changeAboveFence(ctx context.Context, g *pb.Group, higher upstream.Term) error {
 	replies, err := s.ask(ctx, membersOf(s.journal.Frame(), g), askStatus, never)
 	if err != nil {
 		return err
--- a/failover/watch.go
+++ b/failover/watch.go
@@ -33,11 +33,11 @@
 	// members and membersAt say since when this leader has seen the members.
 	members   []string
 	membersAt time.Time
-	// floor is a position of the primary that was read after one lease with
-	// these members; floorTerm is zero if none was read.
-	floor     upstream.Position
-	floorTerm uint64
-	// settled is true once a majority of these members has the floor.
+	// settlePosition is a position of the primary that was read after one lease with
+	// these members; settleTerm is zero if none was read.
+	settlePosition upstream.Position
+	settleTerm     uint64
+	// settled is true once a majority of these members has settlePosition.
 	settled bool
 	// promoteFailures counts failed promotions at term.
 	promoteFailures int
@@ -70,7 +70,7 @@
 	}
 	if !known || !slices.Equal(w.members, g.GetMembers()) {
 		w.members, w.membersAt = g.GetMembers(), now
-		w.floorTerm, w.settled = 0, false
+		w.settleTerm, w.settled = 0, false
 	}
 	return w.groupFacts, w.busy
 }
--- a/member/watch.go
+++ b/member/watch.go
@@ -152,14 +152,14 @@
 	a.countPending()
 	close(a.changed)
 	a.changed = make(chan struct{})
-	if a.gained(old) {
+	if a.becameOwner(old) {
 		a.Nudge()
 	}
 }
 
-// gained is true if the host became owner of an upstream that it holds no
+// becameOwner is true if the host became owner of an upstream that it holds no
 // lease on yet. a.mu is held.
-func (a *Agent) gained(old *controlstate.Frame) bool {
+func (a *Agent) becameOwner(old *controlstate.Frame) bool {
 	for _, u := range a.frame.OwnedBy(a.options.Name) {
 		if old == nil || old.Upstreams[u.GetName()].GetOwnerEpoch() != u.GetOwnerEpoch() {
 			return true
