--- a/failover/calls.go
+++ b/failover/calls.go
@@ -46,18 +46,18 @@
 			return replies, nil
 		}
 		if late == nil && ok >= until.enough {
-			late = time.After(until.straggle)
+			late = time.After(until.extra)
 		}
 	}
 	return replies, nil
 }
 
 // stop says when ask need not wait for the remaining upstreams: enough have
-// done what they were asked, not counting except, and straggle has passed since.
+// done what they were asked, not counting except, and extra has passed since.
 type stop struct {
-	enough   int
-	except   string
-	straggle time.Duration
+	enough int
+	except string
+	extra  time.Duration
 }
 
 // never makes ask wait for every upstream.
