Stop and rerun long reads, find silent connections, test the owner

A read that turned out long while short work waits is cancelled and run again as long work, if nothing of its answer has gone to the caller. Its connection is closed, because a late cancel request could hit the next statement. A connection without a sign of life is probed over a new one. If connections implement pool.Activity, the server itself tells whether it still works; otherwise the bound follows from learned service times. False alarms remain in that case for work of a known shape that runs more than 200 times longer than usual and four times longer than anything seen on the upstream; each alarm raises the bound for the next try.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -72,7 +72,8 @@
 	// Preemptible says that the work can be stopped and run again while
 	// Slot.Keep has not been called.
 	Preemptible bool
-	// Long marks work that has run long before.
+	// Long marks work that was stopped because it ran long. It is never
+	// refused because of its wait, because it started within it.
 	Long bool
 }
 
@@ -101,7 +102,7 @@
 // New returns a queue.
 func New(o Options) *Queue {
 	if o.Policy == nil {
-		o.Policy = NewFIFO()
+		o.Policy = NewShortest()
 	}
 	q := &Queue{
 		log:     logging.For(o.Log, "admission"),
@@ -156,7 +157,7 @@
 }
 
 func expiry(req Request) (<-chan time.Time, func() bool) {
-	if req.Continuation {
+	if req.Continuation || req.Long {
 		return nil, func() bool { return true }
 	}
 	timer := time.NewTimer(max(0, req.WaitRemaining))
@@ -183,7 +184,7 @@
 
 // excess is how far the predicted start of w lies beyond what it may wait.
 func (q *Queue) excess(w *waiter, now time.Time) time.Duration {
-	if w.Continuation {
+	if w.Continuation || w.Long {
 		return 0
 	}
 	start, limit := q.policy.predict(&q.board, w, now)
@@ -313,6 +314,22 @@
 	return len(q.board.running)
 }
 
+// Patience is how long work of a kind may stay without a sign of life before
+// it is taken for lost, judged by what has run on the upstream.
+func (q *Queue) Patience(class string, shape uint64) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.board.learned.patience(kind{class: class, shape: shape}, q.clock.Now())
+}
+
+// Lost takes note that work was taken for lost after elapsed. The next work
+// gets more time, in case the verdict was wrong.
+func (q *Queue) Lost(elapsed time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.board.learned.sawLong(elapsed.Seconds(), q.clock.Now())
+}
+
 // tick continues after the time that was armed.
 func (q *Queue) tick() {
 	q.mu.Lock()
--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,338 @@
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The benchmark drives a Queue in virtual time. An upstream is modelled by its
+// slots alone: work runs exactly as long as drawn once it has a slot.
+
+const (
+	unit        = 5 * time.Millisecond // mean service time of short work
+	stragglers  = 0.01
+	slowness    = 100
+	cancelDelay = time.Millisecond
+)
+
+type task struct {
+	short          bool
+	arrive         time.Time
+	service        time.Duration
+	wait           time.Duration
+	started, ended time.Time
+	refused        bool
+	runs           int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(e[i].at.Compare(e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation is a clock and an event loop.
+type simulation struct {
+	now    time.Time
+	seq    int
+	events events
+	queue  *Queue
+	random *rand.Rand
+	tasks  []*task
+	live   map[*Slot]func()
+}
+
+func newSimulation(p Policy, slots int, seed uint64) *simulation {
+	s := &simulation{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), live: map[*Slot]func(){}}
+	s.queue = New(Options{Slots: slots, Policy: p, clock: s, Bounds: Bounds{CallerEntries: 1 << 30, CallerBytes: 1 << 40}})
+	return s
+}
+
+func (s *simulation) Now() time.Time { return s.now }
+
+func (s *simulation) Arm(at time.Time) { s.at(at, s.queue.tick) }
+
+func (s *simulation) at(when time.Time, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: when, seq: s.seq, do: do})
+}
+
+func (s *simulation) run() {
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+		s.stopVictims()
+	}
+}
+
+// stopVictims plays the owner, which cancels what the queue wants stopped.
+func (s *simulation) stopVictims() {
+	for slot, stop := range s.live {
+		if slot.preempted {
+			delete(s.live, slot)
+			s.at(s.now.Add(cancelDelay), stop)
+		}
+	}
+}
+
+func (s *simulation) submit(t *task, req Request) {
+	w := &waiter{Request: req}
+	w.grant = func(slot *Slot) {
+		if t.started.IsZero() {
+			t.started = s.now
+		}
+		t.runs++
+		began := s.now
+		over := false
+		s.live[slot] = func() {
+			if over {
+				return
+			}
+			over = true
+			slot.Release(NotMeasured)
+			again := req
+			again.Long = true
+			again.Continuation = false
+			again.Waited += s.now.Sub(t.arrive)
+			again.WaitRemaining -= s.now.Sub(t.arrive)
+			s.submit(t, again)
+		}
+		s.at(s.now.Add(t.service), func() {
+			if over {
+				return
+			}
+			over = true
+			delete(s.live, slot)
+			t.ended = s.now
+			slot.Release(s.now.Sub(began))
+		})
+	}
+	if s.queue.enqueue(w) != nil {
+		t.refused = true
+		return
+	}
+	s.at(s.now.Add(max(req.WaitRemaining, 0)), func() {
+		if !req.Long && s.queue.remove(w) {
+			t.refused = true
+		}
+	})
+}
+
+// load is what arrives.
+type load struct {
+	slots   int
+	seconds int
+	// rho is the share of the capacity that is asked for.
+	rho func(second float64) float64
+	// straggler share, and whether their shape tells them apart.
+	share  float64
+	marked bool
+	wait   time.Duration
+	fixed  bool // every service time is the same
+}
+
+func (l load) simulate(p Policy, seed uint64) *simulation {
+	s := newSimulation(p, l.slots, seed)
+	mean := unit.Seconds() * (1 - l.share + l.share*slowness)
+	start := s.now
+	var next func()
+	next = func() {
+		second := s.now.Sub(start).Seconds()
+		if second > float64(l.seconds) {
+			return
+		}
+		s.arrive(l)
+		rate := l.rho(second) * float64(l.slots) / mean
+		s.at(s.now.Add(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second))), next)
+	}
+	s.at(s.now, next)
+	s.run()
+	return s
+}
+
+func (s *simulation) arrive(l load) {
+	t := &task{short: true, arrive: s.now, service: unit, wait: l.wait}
+	if !l.fixed {
+		t.service = time.Duration(float64(unit) * s.random.ExpFloat64())
+	}
+	shape := uint64(1 + s.random.IntN(20))
+	if s.random.Float64() < l.share {
+		t.short = false
+		t.service = unit * slowness
+		if l.marked {
+			shape = 100
+		}
+	}
+	s.tasks = append(s.tasks, t)
+	s.submit(t, Request{Class: "c", Caller: "x", Shape: shape, WaitRemaining: l.wait, Preemptible: true})
+}
+
+func quantile(d []float64, q float64) float64 {
+	if len(d) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(d)
+	return d[min(int(q*float64(len(d))), len(d)-1)]
+}
+
+// waits are the figures of one run without its start.
+type waits struct {
+	p99 float64 // ms, of short work
+	// slowdown of stragglers: time from arrival to end over service time.
+	slowdown, slowdown95 float64
+	refused              float64
+}
+
+func (s *simulation) waits(skip time.Duration) (r waits) {
+	var short, slow []float64
+	n := 0
+	first := s.tasks[0].arrive.Add(skip)
+	for _, t := range s.tasks {
+		if t.arrive.Before(first) {
+			continue
+		}
+		n++
+		switch {
+		case t.refused:
+			r.refused++
+		case t.short:
+			short = append(short, float64(t.ended.Sub(t.arrive)-t.service)/1e6)
+		default:
+			slow = append(slow, float64(t.ended.Sub(t.arrive))/float64(t.service))
+		}
+	}
+	for _, x := range slow {
+		r.slowdown += x / float64(len(slow))
+	}
+	r.p99 = quantile(short, 0.99)
+	r.slowdown95 = quantile(slow, 0.95)
+	r.refused /= float64(n)
+	return r
+}
+
+var policies = []struct {
+	name string
+	make func() Policy
+}{
+	{"fifo", func() Policy { return NewFIFO() }},
+	{"shortest", func() Policy { return NewShortest() }},
+}
+
+// Prints the figures of docs/notes/admission.md: the wait of short work behind
+// stragglers, and the stragglers' own slowdown.
+func TestStragglerBenchmark(t *testing.T) {
+	for _, slots := range []int{3, 5} {
+		for _, marked := range []bool{true, false} {
+			for _, rho := range []float64{0.5, 0.7} {
+				for _, fixed := range []bool{true, false} {
+					t.Run(fmt.Sprintf("slots=%d/known=%v/load=%.1f/fixed=%v", slots, marked, rho, fixed), func(t *testing.T) {
+						l := load{slots: slots, seconds: 100, share: stragglers, marked: marked, wait: 10 * time.Second, fixed: fixed}
+						l.rho = func(float64) float64 { return rho }
+						l.compareWaits(t)
+					})
+				}
+			}
+		}
+	}
+}
+
+func (l load) compareWaits(t *testing.T) {
+	var p99 []float64
+	for _, p := range policies {
+		w := l.simulate(p.make(), 7).waits(20 * time.Second)
+		p99 = append(p99, w.p99)
+		t.Logf("%-8s p99 wait of short work %6.1f ms, stragglers' slowdown mean %.2f p95 %.2f, refused %.2f %%", p.name, w.p99, w.slowdown, w.slowdown95, 100*w.refused)
+	}
+	t.Logf("ratio %.2f", p99[1]/p99[0])
+	assert.Assert(t, p99[1] < p99[0])
+}
+
+// Prints the figures for a peak of ten times the usual load.
+func TestPeakBenchmark(t *testing.T) {
+	for _, slots := range []int{3, 5} {
+		for _, share := range []float64{0, stragglers} {
+			for _, wait := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+				t.Run(fmt.Sprintf("slots=%d/stragglers=%.2f/wait=%v", slots, share, wait), func(t *testing.T) {
+					l := load{slots: slots, seconds: 60, share: share, marked: true, wait: wait}
+					l.rho = func(second float64) float64 {
+						if second >= peakStart && second < peakEnd {
+							return 5
+						}
+						return 0.5
+					}
+					l.comparePeak(t)
+				})
+			}
+		}
+	}
+}
+
+const (
+	peakStart = 30.0
+	peakEnd   = 35.0
+)
+
+func (l load) comparePeak(t *testing.T) {
+	for _, p := range policies {
+		s := l.simulate(p.make(), 7)
+		share, recovery := s.peak(l)
+		t.Logf("%-8s short work inside its wait %5.1f %% of the capacity, recovery %.2f s", p.name, 100*share, recovery)
+		if p.name != "shortest" {
+			continue
+		}
+		assert.Assert(t, recovery < 1)
+		assert.Assert(t, share > 0.95 || l.share > 0)
+	}
+}
+
+// peak returns the service time of short work that arrived in the peak and was
+// answered within its wait, as a share of what the slots can do in that time,
+// and when waits were normal again: from then on, no tenth of a second has a
+// median wait above ten times the service time of short work.
+func (s *simulation) peak(l load) (share, recovery float64) {
+	start := s.tasks[0].arrive
+	windows := map[int][]float64{}
+	for _, t := range s.tasks {
+		second := t.arrive.Sub(start).Seconds()
+		if !t.short || t.refused || second < peakStart {
+			continue
+		}
+		if second < peakEnd {
+			if t.ended.Sub(t.arrive) <= t.wait {
+				share += t.service.Seconds()
+			}
+			continue
+		}
+		n := int((second - peakEnd) * 10)
+		windows[n] = append(windows[n], t.started.Sub(t.arrive).Seconds())
+	}
+	for n, waits := range windows {
+		if quantile(waits, 0.5) > 10*unit.Seconds() {
+			recovery = max(recovery, float64(n+1)/10)
+		}
+	}
+	return share / ((peakEnd - peakStart) * float64(l.slots)), recovery
+}
--- a/admission/learn.go
+++ b/admission/learn.go
@@ -29,6 +29,7 @@
 type estimate struct {
 	weight float64
 	sum    float64 // seconds
+	capped float64 // seconds, each sample at most the cap at its time
 	logSum float64 // logarithm of seconds
 	at     time.Time
 }
@@ -41,14 +42,16 @@
 	f := math.Exp2(-float64(dt) / float64(halfLife))
 	e.weight *= f
 	e.sum *= f
+	e.capped *= f
 	e.logSum *= f
 	e.at = now
 }
 
-func (e *estimate) add(seconds float64, now time.Time) {
+func (e *estimate) add(seconds, limit float64, now time.Time) {
 	e.decay(now)
 	e.weight++
 	e.sum += seconds
+	e.capped += min(seconds, limit)
 	e.logSum += math.Log(seconds)
 }
 
@@ -57,11 +60,22 @@
 type service struct {
 	// mean predicts how much work waits.
 	mean float64
+	// capped is the mean without the part of stragglers that runs in the
+	// slots for long work.
+	capped float64
 	// typical is the geometric mean. One straggler among many short runs
 	// hardly moves it, so that it tells short kinds from long kinds.
 	typical float64
 }
 
+// of returns the mean that a queue of short or of long work moves by.
+func (s service) of(long bool) float64 {
+	if long {
+		return s.mean
+	}
+	return s.capped
+}
+
 // refine narrows a wider estimate by e.
 func (e *estimate) refine(wider service, now time.Time) service {
 	if e == nil {
@@ -72,11 +86,12 @@
 		return wider
 	}
 	if wider.typical == 0 {
-		return service{mean: e.sum / e.weight, typical: math.Exp(e.logSum / e.weight)}
+		return service{mean: e.sum / e.weight, capped: e.capped / e.weight, typical: math.Exp(e.logSum / e.weight)}
 	}
 	total := e.weight + priorWeight
 	return service{
 		mean:    (e.sum + priorWeight*wider.mean) / total,
+		capped:  (e.capped + priorWeight*wider.capped) / total,
 		typical: math.Exp((e.logSum + priorWeight*math.Log(wider.typical)) / total),
 	}
 }
@@ -87,6 +102,9 @@
 	median  histogram
 	classes map[string]*estimate
 	shapes  map[kind]*list.Element
+	// longest is the longest service time, decaying.
+	longest   float64
+	longestAt time.Time
 	// recent orders the shapes by last use, the latest first.
 	recent list.List
 }
@@ -104,10 +122,15 @@
 
 func (l *learner) observe(k kind, elapsed time.Duration, now time.Time) {
 	seconds := max(elapsed.Seconds(), minSeconds)
-	l.all.add(seconds, now)
+	limit := math.Inf(1)
+	if median := l.median.seconds(now); median > 0 {
+		limit = longFactor * median
+	}
+	l.sawLong(seconds, now)
+	l.all.add(seconds, limit, now)
 	l.median.add(seconds, now)
-	l.class(k.class).add(seconds, now)
-	l.shape(k).add(seconds, now)
+	l.class(k.class).add(seconds, limit, now)
+	l.shape(k).add(seconds, limit, now)
 }
 
 func (l *learner) class(name string) *estimate {
@@ -144,6 +167,39 @@
 	return known
 }
 
+const (
+	longestHalfLife = 5 * time.Minute
+	// Work is taken for lost only after several times the longest time seen
+	// on the upstream, and after many times the usual time of its shape.
+	lostAfterLongest = 4
+	lostAfterTypical = 200
+	minPatience      = 3 * time.Second
+	unknownPatience  = 10 * time.Second
+)
+
+func (l *learner) sawLong(seconds float64, now time.Time) {
+	l.longest = max(l.longest*decayed(now.Sub(l.longestAt), longestHalfLife), seconds)
+	l.longestAt = now
+}
+
+func decayed(dt, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(max(dt, 0)) / float64(halfLife))
+}
+
+func (l *learner) patience(k kind, now time.Time) time.Duration {
+	longest := l.longest * decayed(now.Sub(l.longestAt), longestHalfLife)
+	bound := seconds(lostAfterLongest * longest)
+	e := l.shapes[k]
+	if e == nil {
+		return max(bound, unknownPatience)
+	}
+	typical := e.Value.(*shapeEstimate).refine(service{}, now).typical
+	if typical == 0 {
+		return max(bound, unknownPatience)
+	}
+	return max(bound, minPatience, seconds(lostAfterTypical*typical))
+}
+
 const (
 	histogramBuckets  = 128
 	bucketsPerDoubled = 4
@@ -199,3 +255,30 @@
 	h.decay(now)
 	return h.value
 }
+
+const rateHalfLife = 2 * time.Second
+
+// rate is a decaying amount per second.
+type rate struct {
+	amount float64
+	at     time.Time
+}
+
+func (r *rate) decay(now time.Time) {
+	dt := now.Sub(r.at)
+	if dt <= 0 {
+		return
+	}
+	r.amount *= math.Exp2(-float64(dt) / float64(rateHalfLife))
+	r.at = now
+}
+
+func (r *rate) add(x float64, now time.Time) {
+	r.decay(now)
+	r.amount += x
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.amount * math.Ln2 / rateHalfLife.Seconds()
+}
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -19,6 +19,8 @@
 	// predict returns when w would start if it were pushed now, and how
 	// long it may wait.
 	predict(b *board, w *waiter, now time.Time) (start, limit time.Duration)
+	// observe takes note of work that has finished.
+	observe(b *board, s *Slot, elapsed time.Duration, now time.Time)
 	// victim returns the running work to stop, or nil, and when to ask
 	// again, or zero. It is called only while all slots are held.
 	victim(b *board, now time.Time) (*Slot, time.Time)
@@ -67,3 +69,5 @@
 }
 
 func (f *FIFO) victim(*board, time.Time) (*Slot, time.Time) { return nil, time.Time{} }
+
+func (f *FIFO) observe(*board, *Slot, time.Duration, time.Time) {}
--- a/admission/slot.go
+++ b/admission/slot.go
@@ -16,7 +16,11 @@
 	arrived  time.Time
 	deadline time.Time
 	started  bool
-	element  *list.Element
+	// long is set when the work starts: whether it is expected to be long.
+	long bool
+	// predicted is the uncorrected prediction of the wait, in seconds.
+	predicted float64
+	element   *list.Element
 	// bucket is the list of a policy that holds the waiter.
 	bucket *bucket
 	// grant receives the slot; it is called with the queue's lock held and
@@ -35,6 +39,10 @@
 	since     time.Time
 	keep      bool
 	preempted bool
+	// expectedLong says that the work was expected to be long, long that it
+	// counts as long now.
+	expectedLong bool
+	long         bool
 }
 
 // Yield is closed when the queue wants the work stopped and run again later.
@@ -61,6 +69,7 @@
 	now := q.clock.Now()
 	q.board.drop(s)
 	if elapsed >= 0 {
+		q.policy.observe(&q.board, s, elapsed, now)
 		q.board.learned.observe(s.work.key(), elapsed, now)
 	}
 	q.dispatch(now)
@@ -92,7 +101,7 @@
 
 func (q *Queue) start(w *waiter, now time.Time) {
 	w.started = true
-	s := &Slot{queue: q, work: w, since: now, yield: make(chan struct{})}
+	s := &Slot{queue: q, work: w, since: now, yield: make(chan struct{}), expectedLong: w.long, long: w.long}
 	q.board.running = append(q.board.running, s)
 	w.grant(s)
 }
--- a/owner/admit.go
+++ b/owner/admit.go
@@ -14,6 +14,9 @@
 // viewTimeout bounds the wait for a version that the entry has seen already.
 const viewTimeout = time.Second
 
+// minConnWait lets work with hardly any wait left, but a slot, still dial.
+const minConnWait = 100 * time.Millisecond
+
 func (s *stream) count(reason fault.Reason) {
 	metrics.Refused(s.owner.metrics, s.open.Class, reason)
 }
@@ -98,9 +101,17 @@
 		Waited:        j.batch.Waited + time.Since(j.arrived),
 		WaitRemaining: j.remaining(),
 		Continuation:  j.continuation,
+		Long:          j.restarted,
+		Preemptible:   j.preemptible(),
 	}
 }
 
+// preemptible reports whether the work may be stopped and run again: only
+// reads outside of transactions have no effect when they are stopped.
+func (j *job) preemptible() bool {
+	return j.batch.Mode == upstream.ModeRead && !j.continuation && !j.restarted
+}
+
 // acquire gets a slot and a connection.
 func (j *job) acquire(ctx context.Context) error {
 	if err := j.acquireSlot(ctx, j.request()); err != nil {
@@ -130,7 +141,7 @@
 		j.conn = conn
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(j.remaining(), 0))
+	ctx, cancel := context.WithTimeout(ctx, max(j.remaining(), minConnWait))
 	defer cancel()
 	if u.pool.CanDial() {
 		return j.getConn(ctx)
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -11,22 +11,52 @@
 )
 
 // execute runs the batch with a slot and a connection. Afterwards the slot is
-// free, and the connection is kept only if a transaction is open on it.
+// free, and the connection is kept only if a transaction is open on it. Work
+// that the queue stopped runs again as long work.
 func (j *job) execute(ctx context.Context) (upstream.Result, error) {
 	defer j.releaseSlot(admission.NotMeasured)
+	for {
+		result, stopped, err := j.attempt(ctx)
+		if !stopped {
+			return result, err
+		}
+		j.restarted = true
+	}
+}
+
+func (j *job) attempt(ctx context.Context) (r upstream.Result, stopped bool, err error) {
 	if err := j.prepare(ctx); err != nil {
 		j.giveBack()
-		return upstream.Result{}, err
+		return r, false, err
 	}
 	x := &execution{job: j, conn: j.conn, started: time.Now()}
-	result, err := x.run(ctx)
+	r, err = x.run(ctx)
 	if err != nil {
 		j.releaseSlot(admission.NotMeasured)
-		return upstream.Result{}, j.fail(x, err)
+		return r, false, j.fail(x, err)
+	}
+	if ctx.Err() == nil && x.wasStopped(r) {
+		j.releaseSlot(admission.NotMeasured)
+		j.dropConn()
+		return r, true, nil
 	}
 	j.releaseSlot(time.Since(x.started))
-	j.keepOrPut(x, result)
-	return result, nil
+	if err := x.flush(); err != nil {
+		j.dropConn()
+		return r, false, j.unknown(err)
+	}
+	j.keepOrPut(x, r)
+	return r, false, nil
+}
+
+// asked reports whether the queue has asked for the slot.
+func (j *job) asked() bool {
+	select {
+	case <-j.slot.Yield():
+		return true
+	default:
+		return false
+	}
 }
 
 // prepare gets the slot and the connection and repeats the checks that may
@@ -42,7 +72,8 @@
 	if err := j.acquire(queueing); err != nil {
 		return err
 	}
-	if j.continuation {
+	// What has run once is in flight, even if it was stopped to run again.
+	if j.continuation || j.restarted {
 		return nil
 	}
 	if err := s.allowed(); err != nil {
@@ -54,7 +85,7 @@
 // awaitUnhealthy waits for the confirmation of a primary before the queue if
 // it is not expected at once, so that no slot is held meanwhile.
 func (j *job) awaitUnhealthy(ctx context.Context) error {
-	if j.continuation || j.fresh.healthy() {
+	if j.continuation || j.restarted || j.fresh.healthy() {
 		return nil
 	}
 	return j.notConfirmed(j.fresh.wait(ctx, j.remaining()))
--- a/owner/execution.go
+++ b/owner/execution.go
@@ -15,6 +15,8 @@
 	// cancelGrace is how long a cancelled batch may take to end before its
 	// connection is closed.
 	cancelGrace = 500 * time.Millisecond
+	// maxHeld bounds the answer bytes that are held back after a stop.
+	maxHeld = 1 << 20
 )
 
 // execution is one run of a batch on a connection.
@@ -33,6 +35,12 @@
 	// cancelled is true once a cancel request was sent. It may arrive late
 	// and hit whatever the connection runs then.
 	cancelled bool
+	// delivered is true once answer bytes have gone to the caller.
+	delivered bool
+	// byCaller is true once the caller has cancelled the batch.
+	byCaller bool
+	// held are answer bytes that came after the queue asked to stop.
+	held []byte
 }
 
 // tainted reports whether the connection must not be used again. It is asked
@@ -62,7 +70,7 @@
 // how a batch is stopped.
 func (x *execution) run(ctx context.Context) (upstream.Result, error) {
 	j := x.job
-	j.stream.onCancel(x.cancel)
+	j.stream.onCancel(x.cancelByCaller)
 	finished := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
@@ -89,11 +97,63 @@
 
 func (x *execution) touch() { x.lastByte.Store(int64(time.Since(x.started))) }
 
+// quiet is how long the connection has delivered nothing.
+func (x *execution) quiet() time.Duration {
+	return time.Since(x.started) - time.Duration(x.lastByte.Load())
+}
+
+// deliver passes a part of the answer on, or holds it back if the batch is
+// being stopped and nothing has gone to the caller yet.
 func (x *execution) deliver(chunk []byte) error {
 	x.touch()
+	if x.hold(chunk) {
+		return nil
+	}
+	if err := x.flush(); err != nil {
+		return err
+	}
 	return x.job.sink(chunk)
 }
 
+func (x *execution) hold(chunk []byte) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.delivered || len(x.held)+len(chunk) > maxHeld || x.job.slot.Keep() {
+		x.delivered = true
+		return false
+	}
+	x.held = append(x.held, chunk...)
+	return true
+}
+
+// flush passes on what was held back.
+func (x *execution) flush() error {
+	x.mu.Lock()
+	held := x.held
+	x.held = nil
+	x.mu.Unlock()
+	if len(held) == 0 {
+		return nil
+	}
+	return x.job.sink(held)
+}
+
+// wasStopped reports whether the batch ended because the queue asked for its
+// slot: the read failed after the cancel request and nothing of its answer
+// has gone to the caller, so that it may run again.
+func (x *execution) wasStopped(r upstream.Result) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.cancelled && !x.byCaller && !x.delivered && r.DatabaseError && x.job.asked()
+}
+
+func (x *execution) cancelByCaller(ctx context.Context) error {
+	x.mu.Lock()
+	x.byCaller = true
+	x.mu.Unlock()
+	return x.cancel(ctx)
+}
+
 // cancel asks the server to stop the batch.
 func (x *execution) cancel(ctx context.Context) error {
 	if !x.mayCancel() {
@@ -103,25 +163,3 @@
 	defer stop()
 	return x.conn.Cancel(ctx)
 }
-
-// monitor stops a batch whose caller has gone or whose connection is silent.
-func (x *execution) monitor(ctx context.Context, finished <-chan struct{}) {
-	select {
-	case <-finished:
-	case <-ctx.Done():
-		x.abort(finished)
-	}
-}
-
-// abort cancels the batch on the server and closes the connection if the
-// batch does not end soon.
-func (x *execution) abort(finished <-chan struct{}) {
-	_ = x.cancel(context.Background())
-	timer := time.NewTimer(cancelGrace)
-	defer timer.Stop()
-	select {
-	case <-finished:
-	case <-timer.C:
-		_ = x.conn.Close()
-	}
-}
--- a/owner/fake_test.go
+++ b/owner/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 // conn is a connection to a server in memory.
 type conn struct {
 	server *server
+	world  *world
 	// ended is closed by Close, cancelled by Cancel.
 	ended, cancelled chan struct{}
 	once, cancelOnce sync.Once
@@ -180,6 +182,33 @@
 	view    *registry.View
 	changed chan struct{}
 	lapsed  bool
+	// active answers what Activity asks: whether the server works, and
+	// whether it can tell.
+	active func() (working, known bool)
+
+	probed atomic.Int32
+}
+
+func (w *world) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// Active lets a connection tell about another one; see pool.Activity.
+func (c *conn) Active(context.Context, upstream.Conn) (bool, error) {
+	c.world.mu.Lock()
+	active := c.world.active
+	c.world.mu.Unlock()
+	c.world.probed.Add(1)
+	if active == nil {
+		return false, &fault.Unsupported{Feature: "activity"}
+	}
+	working, known := active()
+	if !known {
+		return false, &fault.Unsupported{Feature: "activity"}
+	}
+	return working, nil
 }
 
 var members = []string{"a", "b", "c"}
@@ -223,7 +252,7 @@
 		return nil, &fault.NotRun{Reason: fault.ReasonUpstreamUnavailable, Detail: "down"}
 	}
 	s.opened++
-	return &conn{server: s, ended: make(chan struct{}), cancelled: make(chan struct{})}, nil
+	return &conn{server: s, world: w, ended: make(chan struct{}), cancelled: make(chan struct{})}, nil
 }
 
 func (w *world) View() *registry.View {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -75,7 +75,7 @@
 		o.SilentAfter = defaultSilentAfter
 	}
 	if o.Policy == nil {
-		o.Policy = func() admission.Policy { return admission.NewFIFO() }
+		o.Policy = func() admission.Policy { return admission.NewShortest() }
 	}
 	w := &Owner{
 		opts:    o,
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -149,6 +149,9 @@
 	// connection of a transaction that is still open.
 	conn upstream.Conn
 	slot *admission.Slot
+	// restarted is true once the queue has stopped the work in favour of
+	// short work.
+	restarted bool
 }
 
 func (j *job) run(ctx context.Context) (exchange.Done, error) {
