Release idle connections with the lease, test admission and pool

A host whose lease has lapsed may be cut off while the next owner dials; its idle connections would count against max_connections.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lovageslip/fault"
+)
+
+func request(shape uint64) Request {
+	return Request{Class: "c", Caller: "x", Shape: shape, WaitRemaining: time.Minute}
+}
+
+func acquire(t *testing.T, q *Queue, r Request) *Slot {
+	t.Helper()
+	s, err := q.Acquire(context.Background(), r)
+	assert.NilError(t, err)
+	return s
+}
+
+// teach runs short and long work until the queue can tell them apart.
+func teach(t *testing.T, q *Queue, short, long uint64) {
+	t.Helper()
+	for range 40 {
+		acquire(t, q, request(short)).Release(time.Millisecond)
+	}
+	for range 4 {
+		acquire(t, q, request(long)).Release(time.Second)
+	}
+}
+
+func waitQueued(t *testing.T, q *Queue, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if q.Queued() == n {
+			return poll.Success()
+		}
+		return poll.Continue("%d queued", q.Queued())
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func inBackground(ctx context.Context, q *Queue, r Request) (<-chan *Slot, <-chan error) {
+	slots, errs := make(chan *Slot, 1), make(chan error, 1)
+	go func() {
+		s, err := q.Acquire(ctx, r)
+		slots <- s
+		errs <- err
+	}()
+	return slots, errs
+}
+
+func assertReason(t *testing.T, err error, reason fault.Reason) {
+	t.Helper()
+	var notRun *fault.NotRun
+	assert.Assert(t, errors.As(err, &notRun), "%v", err)
+	assert.Equal(t, notRun.Reason, reason)
+}
+
+// Guards against long work in all slots, also when no short work is there.
+func TestStragglerNeverTakesLastSlot(t *testing.T) {
+	for _, slots := range []int{2, 3, 5} {
+		q := New(Options{Slots: slots})
+		teach(t, q, 1, 2)
+		var held []*Slot
+		for range slots - 1 {
+			held = append(held, acquire(t, q, request(2)))
+		}
+		waiting, _ := inBackground(context.Background(), q, request(2))
+		continuation := request(2)
+		continuation.Continuation = true
+		alsoWaiting, _ := inBackground(context.Background(), q, continuation)
+		waitQueued(t, q, 2)
+		acquire(t, q, request(1)).Release(time.Millisecond)
+		assert.Equal(t, q.Running(), slots-1)
+		held[0].Release(time.Second)
+		// The open transaction goes first.
+		(<-alsoWaiting).Release(time.Second)
+		(<-waiting).Release(time.Second)
+	}
+}
+
+// Guards against work that was expected to be short and keeps all slots.
+func TestUnannouncedStragglerGivesUpSlot(t *testing.T) {
+	q := New(Options{Slots: 2})
+	teach(t, q, 1, 2)
+	r := request(1)
+	r.Preemptible = true
+	first, second := acquire(t, q, r), acquire(t, q, r)
+	short, _ := inBackground(context.Background(), q, request(1))
+	select {
+	case <-first.Yield():
+		first.Release(NotMeasured)
+	case <-second.Yield():
+		second.Release(NotMeasured)
+	case <-time.After(20 * time.Second):
+		t.Fatal("no straggler was stopped")
+	}
+	(<-short).Release(time.Millisecond)
+}
+
+// Guards against stopping work whose answer has begun.
+func TestKeptWorkIsNotStopped(t *testing.T) {
+	q := New(Options{Slots: 2})
+	teach(t, q, 1, 2)
+	r := request(1)
+	r.Preemptible = true
+	first, second := acquire(t, q, r), acquire(t, q, r)
+	assert.Assert(t, first.Keep())
+	short, _ := inBackground(context.Background(), q, request(1))
+	<-second.Yield()
+	assert.Assert(t, !second.Keep())
+	select {
+	case <-first.Yield():
+		t.Fatal("work was stopped after its answer had begun")
+	default:
+	}
+	second.Release(NotMeasured)
+	(<-short).Release(time.Millisecond)
+}
+
+// Guards against entries of callers that are gone.
+func TestCancelledRequestLeavesQueue(t *testing.T) {
+	for _, policy := range []Policy{NewFIFO(), NewShortest()} {
+		q := New(Options{Slots: 1, Policy: policy})
+		held := acquire(t, q, request(1))
+		ctx, cancel := context.WithCancel(context.Background())
+		_, errs := inBackground(ctx, q, request(1))
+		waitQueued(t, q, 1)
+		cancel()
+		assertReason(t, <-errs, fault.ReasonCancelled)
+		assert.Equal(t, q.Queued(), 0)
+		held.Release(time.Millisecond)
+		assert.Equal(t, q.Running(), 0)
+	}
+}
+
+// Guards against waiting in vain: what cannot start in time is told at once
+// when to come back, and not all at the same moment.
+func TestHopelessWaitRefusedAtOnce(t *testing.T) {
+	q := New(Options{Slots: 1})
+	for range 20 {
+		acquire(t, q, request(1)).Release(time.Second)
+	}
+	held := acquire(t, q, request(1))
+	defer held.Release(time.Second)
+	hopeless := request(1)
+	hopeless.WaitRemaining = 100 * time.Millisecond
+	times := map[time.Duration]bool{}
+	for range 10 {
+		began := time.Now()
+		_, err := q.Acquire(context.Background(), hopeless)
+		assertReason(t, err, fault.ReasonWaitExceeded)
+		assert.Assert(t, time.Since(began) < 90*time.Millisecond)
+		retry := err.(*fault.NotRun).RetryAfter
+		assert.Assert(t, retry > 0)
+		times[retry] = true
+	}
+	assert.Assert(t, len(times) > 1)
+}
+
+// Guards against unbounded memory, and against one caller taking the whole
+// queue.
+func TestQueueBounds(t *testing.T) {
+	bounds := Bounds{ClassEntries: 3, CallerEntries: 2, ClassBytes: 100, CallerBytes: 50}
+	q := New(Options{Slots: 1, Bounds: bounds})
+	held := acquire(t, q, request(1))
+	defer held.Release(time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	big := request(1)
+	big.Bytes = 60
+	inBackground(ctx, q, request(1))
+	waitQueued(t, q, 1)
+	_, err := q.Acquire(ctx, big)
+	assertReason(t, err, fault.ReasonQueueFull)
+	inBackground(ctx, q, request(1))
+	waitQueued(t, q, 2)
+	_, err = q.Acquire(ctx, request(1))
+	assertReason(t, err, fault.ReasonQueueFull)
+	other := request(1)
+	other.Caller = "y"
+	inBackground(ctx, q, other)
+	waitQueued(t, q, 3)
+	other.Caller = "z"
+	_, err = q.Acquire(ctx, other)
+	assertReason(t, err, fault.ReasonQueueFull)
+	other.Class = "d"
+	inBackground(ctx, q, other)
+	waitQueued(t, q, 4)
+}
+
+// Guards against a change of the slots that only new queues see.
+func TestSlotsChangeAtRunTime(t *testing.T) {
+	q := New(Options{Slots: 1})
+	first := acquire(t, q, request(1))
+	second, _ := inBackground(context.Background(), q, request(1))
+	waitQueued(t, q, 1)
+	q.SetSlots(2)
+	s := <-second
+	q.SetSlots(1)
+	third, _ := inBackground(context.Background(), q, request(1))
+	waitQueued(t, q, 1)
+	first.Release(time.Millisecond)
+	assert.Equal(t, q.Queued(), 1)
+	s.Release(time.Millisecond)
+	(<-third).Release(time.Millisecond)
+}
+
+// Guards against memory that grows with the number of statement texts, and
+// against service times that are never forgotten.
+func TestLearnedTimesAreBoundedAndForgotten(t *testing.T) {
+	l := newLearner()
+	now := time.Unix(1000, 0)
+	for shape := range uint64(2 * maxShapes) {
+		l.observe(kind{class: "c", shape: shape}, time.Second, now)
+	}
+	assert.Equal(t, len(l.shapes), maxShapes)
+	k := kind{class: "c", shape: 2*maxShapes - 1}
+	for range 60 {
+		now = now.Add(time.Second)
+		l.observe(k, time.Millisecond, now)
+	}
+	assert.Assert(t, l.expect(k, now).typical < 0.002, "%v", l.expect(k, now))
+}
--- a/owner/admit.go
+++ b/owner/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lovageslip/admission"
@@ -75,7 +76,7 @@
 		return s.refuse(fault.ReasonLeaseLapsed, "no state has been received")
 	}
 	up := view.Upstreams[s.open.Upstream]
-	if up.Owner != o.opts.Host {
+	if up.Owner != o.opts.Host || !o.owns(s.unit) {
 		return s.refuse(fault.ReasonNotOwner, "this host no longer owns the upstream")
 	}
 	lease, inForce := o.opts.Leases.Lease(s.open.Upstream)
@@ -158,12 +159,21 @@
 func (j *job) getConn(ctx context.Context) error {
 	conn, err := j.stream.unit.pool.Get(ctx)
 	if err != nil {
-		return err
+		return j.counted(err)
 	}
 	j.conn = conn
 	return nil
 }
 
+// counted counts a refusal that another part decided on.
+func (j *job) counted(err error) error {
+	var notRun *fault.NotRun
+	if errors.As(err, &notRun) {
+		j.stream.count(notRun.Reason)
+	}
+	return err
+}
+
 func (j *job) releaseSlot(elapsed time.Duration) {
 	if j.slot != nil {
 		j.slot.Release(elapsed)
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -142,7 +142,10 @@
 		// and the pool closes the connection.
 		j.stream.unit.pool.Put(j.conn, true)
 		j.conn = nil
-		return err
+		if err == x.refused {
+			return err
+		}
+		return j.counted(err)
 	}
 	j.dropConn()
 	if x.silent.Load() {
--- a/owner/execution.go
+++ b/owner/execution.go
@@ -28,6 +28,9 @@
 	// nanoseconds since started.
 	lastByte atomic.Int64
 	silent   atomic.Bool
+	// refused is the error of the check, which is counted already. It is
+	// used by the goroutine of the run only.
+	refused error
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -92,7 +95,8 @@
 	if j.continuation || j.batch.Mode == upstream.ModeWrite {
 		return nil
 	}
-	return j.stream.checkRead(ctx, j.class, j.fresh, status)
+	x.refused = j.stream.checkRead(ctx, j.class, j.fresh, status)
+	return x.refused
 }
 
 func (x *execution) touch() { x.lastByte.Store(int64(time.Since(x.started))) }
--- a/owner/health.go
+++ b/owner/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovageslip/exchange"
 	"lovageslip/upstream"
 )
 
@@ -31,12 +32,7 @@
 
 // Health reports on all owned upstreams, in no particular order.
 func (o *Owner) Health() []Health {
-	o.mu.Lock()
-	units := make([]*unit, 0, len(o.units))
-	for _, u := range o.units {
-		units = append(units, u)
-	}
-	o.mu.Unlock()
+	units := o.owned()
 	reports := make([]Health, 0, len(units))
 	for _, u := range units {
 		reports = append(reports, u.health())
@@ -44,6 +40,26 @@
 	return reports
 }
 
+// Hints returns a hint for each owned upstream, in no particular order.
+func (o *Owner) Hints() []exchange.Hint {
+	units := o.owned()
+	hints := make([]exchange.Hint, 0, len(units))
+	for _, u := range units {
+		hints = append(hints, u.hint())
+	}
+	return hints
+}
+
+func (o *Owner) owned() []*unit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	units := make([]*unit, 0, len(o.units))
+	for _, u := range o.units {
+		units = append(units, u)
+	}
+	return units
+}
+
 func (u *unit) health() Health {
 	status, at, known := u.poller.last()
 	unreachable := u.poller.unreachable()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -156,6 +156,14 @@
 	return newStream(o, u, open), nil
 }
 
+// owns reports whether u still stands for its upstream. It does not after a
+// change of owner or of address.
+func (o *Owner) owns(u *unit) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.units[u.name] == u
+}
+
 func (o *Owner) refuse(class string, reason fault.Reason, detail string) *fault.NotRun {
 	metrics.Refused(o.metrics, class, reason)
 	return &fault.NotRun{Reason: reason, Detail: detail}
@@ -204,6 +212,7 @@
 // DrainTimeout reports exchanges that had not finished when Drain's context
 // ended.
 type DrainTimeout struct {
+	// Active is how many exchanges were in flight when Drain began.
 	Active int
 }
 
--- a/owner/stream_test.go
+++ b/owner/stream_test.go
@@ -270,3 +270,58 @@
 	open, _ := o.units["a"].pool.Size()
 	assert.Equal(t, open, 0)
 }
+
+// Guards against idle connections that a former owner keeps from the next one.
+func TestLeaseLapseClosesIdleConnections(t *testing.T) {
+	w, o := newWorld(t)
+	_, _, err := run(t, o, "a", "soon", batch(upstream.ModeRead, "select"))
+	assert.NilError(t, err)
+	w.lapse()
+	eventually(t, "idle connections to close", func() bool {
+		open, _ := o.units["a"].pool.Size()
+		return open == 0
+	})
+}
+
+// Guards against use of an upstream that another host owns.
+func TestChangeOfOwnerEndsNewWork(t *testing.T) {
+	w, o := newWorld(t)
+	s := open(t, o, "a", "soon")
+	w.change(func(v *registry.View) {
+		up := v.Upstreams["a"]
+		up.Owner = "other"
+		v.Upstreams["a"] = up
+	})
+	_, err := s.Run(context.Background(), batch(upstream.ModeRead, "new"), func([]byte) error { return nil })
+	assert.Equal(t, reasonOf(err), fault.ReasonNotOwner)
+	assert.Equal(t, len(w.servers["a"].runs()), 0)
+}
+
+// Guards against requests that run under a configuration older than the
+// owner's.
+func TestOldConfigurationRefused(t *testing.T) {
+	w, o := newWorld(t)
+	w.change(func(v *registry.View) { v.ConfigVersion = 2 })
+	_, _, err := run(t, o, "a", "soon", batch(upstream.ModeRead, "old"))
+	assert.Equal(t, reasonOf(err), fault.ReasonConfigBehind)
+	assert.Equal(t, len(w.servers["a"].runs()), 0)
+}
+
+// Guards against a promotion that starts late because a dead upstream is
+// reported as healthy.
+func TestHealthReportsUnreachableUpstream(t *testing.T) {
+	w, o := newWorld(t)
+	healthOf := func(name string) Health {
+		for _, h := range o.Health() {
+			if h.Upstream == name {
+				return h
+			}
+		}
+		return Health{}
+	}
+	eventually(t, "a status", func() bool { return healthOf("a").Reachable })
+	assert.Assert(t, healthOf("a").Primary)
+	w.servers["a"].set(func(s *server) { s.down = true })
+	eventually(t, "the report", func() bool { return healthOf("a").Unreachable > 300*time.Millisecond })
+	assert.Assert(t, !healthOf("a").Reachable)
+}
--- a/owner/unit.go
+++ b/owner/unit.go
@@ -47,9 +47,21 @@
 	u.confirm = newConfirmer(o.opts.Dialer, o.log, up)
 	u.ctx, u.stop = context.WithCancel(o.ctx)
 	u.tasks.Go(func() { u.poller.run(u.ctx) })
+	u.tasks.Go(u.followLease)
 	return u
 }
 
+// followLease closes idle connections while the lease is not in force: another
+// host may own the upstream by then and count on its connections.
+func (u *unit) followLease() {
+	for u.ctx.Err() == nil {
+		if _, inForce := u.owner.opts.Leases.Lease(u.name); !inForce {
+			u.pool.CloseIdle()
+		}
+		pause(u.ctx, pollInterval)
+	}
+}
+
 // update follows a change of the registry.
 func (u *unit) update(up registry.Upstream, view *registry.View) {
 	u.queue.SetSlots(up.Slots)
@@ -69,16 +81,18 @@
 	last := u.streams == 0 && u.retired
 	u.mu.Unlock()
 	if last {
-		u.close()
+		go u.close()
 	}
 }
 
-// retire closes the unit once its exchanges in flight have finished.
+// retire closes the unit once its exchanges in flight have finished. Its idle
+// connections are closed at once, because the next owner needs them.
 func (u *unit) retire() {
 	u.mu.Lock()
 	u.retired = true
 	idle := u.streams == 0
 	u.mu.Unlock()
+	u.pool.Close()
 	if idle {
 		u.close()
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -326,16 +326,27 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	for _, i := range p.idle {
-		p.lose(i.conn)
-	}
-	p.idle = nil
+	p.closeIdle()
 	p.failAll(unavailable("the pool is closed", 0))
 	p.mu.Unlock()
 	p.stop()
 	p.tasks.Wait()
 }
 
+// CloseIdle closes all connections that nothing uses now.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle()
+}
+
+func (p *Pool) closeIdle() {
+	for _, i := range p.idle {
+		p.lose(i.conn)
+	}
+	p.idle = nil
+}
+
 // trimLoop closes connections that nothing has used for a while.
 func (p *Pool) trimLoop() {
 	ticker := time.NewTicker(max(p.opts.IdleTimeout/4, time.Millisecond))
