--- a/owner/admit.go
+++ b/owner/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lovageslip/admission"
@@ -14,6 +15,9 @@
 // viewTimeout bounds the wait for a version that the entry has seen already.
 const viewTimeout = time.Second
 
+// minConnWait lets work with hardly any wait left, but a slot, still dial.
+const minConnWait = 100 * time.Millisecond
+
 func (s *stream) count(reason fault.Reason) {
 	metrics.Refused(s.owner.metrics, s.open.Class, reason)
 }
@@ -72,7 +76,7 @@
 		return s.refuse(fault.ReasonLeaseLapsed, "no state has been received")
 	}
 	up := view.Upstreams[s.open.Upstream]
-	if up.Owner != o.opts.Host {
+	if up.Owner != o.opts.Host || !o.owns(s.unit) {
 		return s.refuse(fault.ReasonNotOwner, "this host no longer owns the upstream")
 	}
 	lease, inForce := o.opts.Leases.Lease(s.open.Upstream)
@@ -98,9 +102,17 @@
 		Waited:        j.batch.Waited + time.Since(j.arrived),
 		WaitRemaining: j.remaining(),
 		Continuation:  j.continuation,
+		Long:          j.restarted,
+		Preemptible:   j.preemptible(),
 	}
 }
 
+// preemptible reports whether the work may be stopped and run again: only
+// reads outside of transactions have no effect when they are stopped.
+func (j *job) preemptible() bool {
+	return j.batch.Mode == upstream.ModeRead && !j.continuation && !j.restarted
+}
+
 // acquire gets a slot and a connection.
 func (j *job) acquire(ctx context.Context) error {
 	if err := j.acquireSlot(ctx, j.request()); err != nil {
@@ -130,7 +142,7 @@
 		j.conn = conn
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(j.remaining(), 0))
+	ctx, cancel := context.WithTimeout(ctx, max(j.remaining(), minConnWait))
 	defer cancel()
 	if u.pool.CanDial() {
 		return j.getConn(ctx)
@@ -147,12 +159,21 @@
 func (j *job) getConn(ctx context.Context) error {
 	conn, err := j.stream.unit.pool.Get(ctx)
 	if err != nil {
-		return err
+		return j.counted(err)
 	}
 	j.conn = conn
 	return nil
 }
 
+// counted counts a refusal that another part decided on.
+func (j *job) counted(err error) error {
+	var notRun *fault.NotRun
+	if errors.As(err, &notRun) {
+		j.stream.count(notRun.Reason)
+	}
+	return err
+}
+
 func (j *job) releaseSlot(elapsed time.Duration) {
 	if j.slot != nil {
 		j.slot.Release(elapsed)
