owner: give the counters of an upstream names of their own

The counter refused_total was registered with the labels class and reason by the owner, and with upstream, class and reason by the upstream's queue. The Prometheus reporter of tally panics on the second registration, so the first refusal of each kind by the other part ended the request, and the process when the owner was local.

--- a/owner/unit.go
+++ b/owner/unit.go
@@ -35,7 +35,9 @@
 
 func newUnit(o *Owner, up registry.Upstream) *unit {
 	u := &unit{owner: o, name: up.Name, address: up.Address, database: up.Database}
-	scope := o.metrics.Tagged(map[string]string{"upstream": up.Name})
+	// A name of its own: a counter name must not come with different labels, and
+	// the owner counts refusals without the label upstream.
+	scope := o.metrics.SubScope("upstream").Tagged(map[string]string{"upstream": up.Name})
 	u.queue = admission.New(admission.Options{
 		Log: o.opts.Log, Metrics: scope, Slots: up.Slots, Bounds: o.opts.Bounds, Policy: o.opts.Policy(),
 	})
