--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -22,6 +23,7 @@
 }
 
 func runTests(m *testing.M) int {
+	zerolog.SetGlobalLevel(zerolog.Disabled)
 	dir, err := os.MkdirTemp("", "lovageslip-integration-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -37,6 +37,8 @@
 	// places are the data centres that hosts and upstreams are spread over.
 	places  []string
 	classes []class.Class
+	// relays puts a relay before each link.
+	relays bool
 }
 
 // site is a set of control and proxy processes before stand-in upstreams that
@@ -60,6 +62,7 @@
 // link is one address behind the fault-injecting proxy.
 type link struct {
 	proxy *toxiproxy.Proxy
+	relay *relay // nil without siteOptions.relays
 }
 
 // cut drops all connections and refuses new ones.
@@ -137,8 +140,13 @@
 	proxy := toxiproxy.NewProxy(s.toxi, name, s.freeAddress(), to)
 	assert.NilError(s.t, proxy.Start())
 	s.t.Cleanup(proxy.Stop)
-	s.links[name] = &link{proxy: proxy}
-	return proxy.Listen
+	l := &link{proxy: proxy}
+	s.links[name] = l
+	if !s.options.relays {
+		return proxy.Listen
+	}
+	l.relay = startRelay(s.t, proxy.Listen)
+	return l.relay.address()
 }
 
 func (s *site) place(i int) string { return s.options.places[i%len(s.options.places)] }
@@ -298,8 +306,12 @@
 
 // dial connects a caller of a class to a proxy.
 func (s *site) dial(ctx context.Context, proxy int, database, class string) (*pgx.Conn, error) {
+	return dialAt(ctx, s.callers[proxy], database, class)
+}
+
+func dialAt(ctx context.Context, address, database, class string) (*pgx.Conn, error) {
 	return pgx.Connect(ctx, fmt.Sprintf("postgres://caller@%s/%s?sslmode=disable&lovageslip.class=%s",
-		s.callers[proxy], database, class))
+		address, database, class))
 }
 
 // connect is dial for callers that must succeed.
