Acknowledge writes only under a current view; confirm resent transactions

An owner that is cut off from the control hosts may count a majority of members that have been replaced; the control leader lets one lease pass between two changes of members, so an acknowledgement needs a view that was current within the last lease. The lease itself is not the right condition: a graceful shutdown gives leases up while writes are in flight. A resent transaction that had committed was reported as committed although its first try may have ended unconfirmed; now its position is confirmed first. Both tests fail on the code before.

--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -194,7 +194,7 @@
 		return false, "shutting down"
 	case p.agent.View() == nil:
 		return false, "no quorum-confirmed state yet"
-	case !p.agent.Confirmed():
+	case !p.agent.Current():
 		return false, "no contact with a quorum of the control hosts"
 	}
 	return true, ""
--- a/member/agent.go
+++ b/member/agent.go
@@ -105,9 +105,10 @@
 	// handedOver are epochs that were given up at the request of control.
 	handedOver map[string]uint64
 	releasing  bool
-	// confirmedUntil is one lease after the sending of the last heartbeat
-	// that was answered.
-	confirmedUntil time.Time
+	// currentUntil is one lease after the sending of the last heartbeat whose
+	// version the view has; pendingUntil is the same for the last answered one.
+	currentUntil time.Time
+	pendingUntil time.Time
 }
 
 // New returns an agent. Run must be called for it to do anything.
--- a/member/lease.go
+++ b/member/lease.go
@@ -74,8 +74,11 @@
 	defer a.mu.Unlock()
 	a.required = max(a.required, r.GetVersion())
 	until := sent.Add(time.Duration(r.GetLeaseMicros()) * time.Microsecond)
-	a.confirmedUntil = until
+	a.pendingUntil = until
+	a.pendingRequired = r.GetVersion()
+	defer a.noteBehind()
 	if a.releasing {
+		a.countPending()
 		return
 	}
 	a.handOver(r.GetHandover())
@@ -83,9 +86,7 @@
 	for _, owned := range r.GetRenewed() {
 		a.pending[owned.GetUpstream()] = registry.Lease{Epoch: owned.GetEpoch(), Until: until}
 	}
-	a.pendingRequired = r.GetVersion()
 	a.countPending()
-	a.noteBehind()
 }
 
 // handOver gives up single upstreams that another host should own. a.mu is held.
@@ -120,6 +121,7 @@
 	if a.frame == nil || a.frame.Version < a.pendingRequired {
 		return
 	}
+	a.currentUntil = a.pendingUntil
 	for name, lease := range a.pending {
 		u := a.frame.Upstreams[name]
 		kept := a.handedOver[name] != lease.Epoch
@@ -175,12 +177,12 @@
 	return a.required
 }
 
-// Confirmed reports whether a heartbeat that the leader answered was sent
-// within the last lease. If not, this host has lost contact with the quorum.
-func (a *Agent) Confirmed() bool {
+// Current reports whether the view was current at some time within the last
+// lease. If not, this host has lost contact with the quorum.
+func (a *Agent) Current() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return time.Now().Before(a.confirmedUntil)
+	return time.Now().Before(a.currentUntil)
 }
 
 // Release gives up all leases at once and hands the upstreams over, for a
--- a/owner/confirm_test.go
+++ b/owner/confirm_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -57,6 +58,33 @@
 	assert.Equal(t, text, "rows ")
 }
 
+// Guards against counting a majority of members that may have been replaced
+// while the owner was cut off from the control hosts.
+func TestWriteUnknownWithoutCurrentView(t *testing.T) {
+	w, o := newWorld(t)
+	w.set(func() { w.cutOff = true })
+	w.servers["b"].set(func(s *server) { s.status.Offset = 1000 })
+	_, _, err := run(t, o, "a", "now", batch(upstream.ModeWrite, "insert"))
+	assert.Equal(t, reasonOf(err), fault.ReasonOutcomeUnknown)
+}
+
+// Guards against telling the caller of a resent transaction that it has
+// committed while only the primary holds the commit.
+func TestResentTransactionToldOnlyAfterMajority(t *testing.T) {
+	w, o := newWorld(t)
+	w.servers["a"].set(func(s *server) {
+		s.behave = func(c *conn, b upstream.Batch) (upstream.Result, error) {
+			return c.server.answer(b), &fault.AlreadyCommitted{RequestID: "r"}
+		}
+	})
+	_, _, err := run(t, o, "a", "now", batch(upstream.ModeWrite, "insert"))
+	assert.Equal(t, reasonOf(err), fault.ReasonOutcomeUnknown)
+	w.servers["b"].set(func(s *server) { s.status.Offset = 1000 })
+	_, _, err = run(t, o, "a", "now", batch(upstream.ModeWrite, "insert"))
+	var committed *fault.AlreadyCommitted
+	assert.Assert(t, errors.As(err, &committed), "%v", err)
+}
+
 // Guards against counting replicas that have promised to a newer term.
 func TestReplacedPrimaryAcknowledgesNothing(t *testing.T) {
 	w, o := newWorld(t)
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -33,7 +33,7 @@
 	r, err = x.run(ctx)
 	if err != nil {
 		j.releaseSlot(admission.NotMeasured)
-		return r, false, j.fail(x, err)
+		return r, false, j.confirmEarlier(ctx, r, j.fail(x, err))
 	}
 	if ctx.Err() == nil && x.wasStopped(r) {
 		j.releaseSlot(admission.NotMeasured)
@@ -49,6 +49,19 @@
 	return r, false, nil
 }
 
+// confirmEarlier holds the news that a resent transaction has committed back
+// until a majority has that commit: the first try may have ended unconfirmed.
+func (j *job) confirmEarlier(ctx context.Context, r upstream.Result, err error) error {
+	var committed *fault.AlreadyCommitted
+	if !errors.As(err, &committed) {
+		return err
+	}
+	if unconfirmed := j.confirm(ctx, r.After); unconfirmed != nil {
+		return unconfirmed
+	}
+	return err
+}
+
 // asked reports whether the queue has asked for the slot.
 func (j *job) asked() bool {
 	select {
--- a/owner/fake_test.go
+++ b/owner/fake_test.go
@@ -182,6 +182,7 @@
 	view    *registry.View
 	changed chan struct{}
 	lapsed  bool
+	cutOff  bool // from the control hosts, for longer than a lease
 	// active answers what Activity asks: whether the server works, and
 	// whether it can tell.
 	active func() (working, known bool)
@@ -275,6 +276,12 @@
 
 func (w *world) ConfigVersion() uint64 { return 1 }
 
+func (w *world) Current() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cutOff
+}
+
 func (w *world) lapse() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -205,6 +205,11 @@
 	if err := u.confirm.wait(ctx, c, j.stream.owner.opts.ConfirmTimeout); err != nil {
 		return j.unknown(err)
 	}
+	// A majority of members that were replaced meanwhile proves nothing. The
+	// control leader lets one lease pass between two changes of members.
+	if !j.stream.owner.opts.Leases.Current() {
+		return j.unknown(&Unconfirmed{Term: after.Term})
+	}
 	return nil
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -82,4 +82,7 @@
 	Lease(name string) (Lease, bool)
 	// ConfigVersion returns the version that the last renewal required.
 	ConfigVersion() uint64
+	// Current reports whether the view was current at some time within the
+	// last lease. It stays true while a host hands its leases over.
+	Current() bool
 }
