Close gaps that mutation of the security code showed

Three changes of the code had left the tests green: cancel requests in plaintext, a server's count of iterations without bound, and waiting bytes on an encrypted idle connection.

--- a/standin/server.go
+++ b/standin/server.go
@@ -87,7 +87,9 @@
 				return
 			}
 		case codeCancelRequest:
-			s.cancel(body)
+			if s.options.TLS == nil || isTLS(conn) {
+				s.cancel(body)
+			}
 			return
 		default:
 			s.serveStartup(run, conn, reader, body)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -65,8 +65,9 @@
 	AnnounceTo []string
 	// HTTPClient carries the announcements; a plaintext one if nil.
 	HTTPClient *http.Client
-	// TLS is offered to sessions, which are then refused without it.
-	// Replication between stand-ins stays in plaintext.
+	// TLS is offered to sessions, which are then refused without it, and so
+	// are cancel requests, so that tests find those in plaintext. Replication
+	// between stand-ins stays in plaintext.
 	TLS *tls.Config
 	// Passwords are the passwords of the users, who log in by SCRAM-SHA-256;
 	// nil trusts every user.
