lovageslip check: load certificates, keys and authorities

A check passed files with which the host did not start, because it only opened them. Exit code 5, as for other mistakes in settings; the daemons exit with the same code.

--- a/cmd/lovageslip/main.go
+++ b/cmd/lovageslip/main.go
@@ -14,6 +14,7 @@
 
 	"lovageslip/admin"
 	"lovageslip/settings"
+	"lovageslip/tlsconf"
 )
 
 // Exit codes for shell scripts.
@@ -74,12 +75,13 @@
 	var unreachable *admin.Unreachable
 	var rejected *admin.Rejected
 	var problems settings.Problems
+	var badFile *tlsconf.BadFile
 	switch {
 	case errors.As(err, &conflict):
 		return exitConflict
 	case errors.As(err, &unreachable):
 		return exitUnreachable
-	case errors.As(err, &rejected), errors.As(err, &problems):
+	case errors.As(err, &rejected), errors.As(err, &problems), errors.As(err, &badFile):
 		return exitRejected
 	}
 	return exitFailure
--- a/cmd/lovageslip/operate.go
+++ b/cmd/lovageslip/operate.go
@@ -13,6 +13,7 @@
 
 	"lovageslip/admin"
 	"lovageslip/class"
+	"lovageslip/daemon"
 	"lovageslip/settings"
 	"lovageslip/tlsconf"
 )
@@ -22,7 +23,7 @@
 }
 
 func (c *checkCommand) Run() error {
-	kind, err := settings.Check(c.File)
+	kind, err := daemon.Check(c.File)
 	if err != nil {
 		return err
 	}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -13,6 +13,7 @@
 
 	"lovageslip/logging"
 	"lovageslip/settings"
+	"lovageslip/tlsconf"
 )
 
 // Exit codes of the daemons.
@@ -56,7 +57,8 @@
 
 func exitCode(err error) int {
 	var problems settings.Problems
-	if errors.As(err, &problems) {
+	var badFile *tlsconf.BadFile
+	if errors.As(err, &problems) || errors.As(err, &badFile) {
 		return ExitSettings
 	}
 	return ExitFailure
