--- a/cmd/lovageslip-proxy/main.go
+++ b/cmd/lovageslip-proxy/main.go
@@ -20,7 +20,7 @@
 	}
 	log := daemon.NewLog(s.Log)
 	slog.SetDefault(log)
-	return daemon.RunProxy(ctx, s, daemon.Listeners{}, log)
+	return daemon.RunProxy(ctx, s, daemon.ProxyOptions{}, log)
 }
 
 func main() {
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"lovageslip/admin"
+	"lovageslip/admission"
 	"lovageslip/class"
 	"lovageslip/fault"
 	"lovageslip/settings"
@@ -28,6 +29,11 @@
 	Log      *slog.Logger
 	// Lag is the replication lag of the stand-in upstreams.
 	Lag time.Duration
+	// Classes are defined at the start; DevClasses if empty.
+	Classes []class.Class
+	// Policy makes the queues' policy; the product's own if nil. It is for
+	// measurements against a baseline.
+	Policy func() admission.Policy
 	// Ready is called once a caller can connect and every class is in force.
 	Ready func()
 }
@@ -85,7 +91,7 @@
 		both, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(background, cancel)()
-		return RunProxy(both, proxy, Listeners{}, o.Log)
+		return RunProxy(both, proxy, ProxyOptions{Policy: o.Policy}, o.Log)
 	})
 	tasks.Go(func(background context.Context) error { return setUpDev(background, o) })
 	return tasks.Wait()
@@ -133,7 +139,11 @@
 	ctx, cancel := context.WithTimeout(ctx, devSetupTimeout)
 	defer cancel()
 	client := admin.New(tlsconf.HTTPClient(nil), []string{o.Control})
-	for _, one := range DevClasses() {
+	classes := o.Classes
+	if len(classes) == 0 {
+		classes = DevClasses()
+	}
+	for _, one := range classes {
 		change := admin.Change{ChangeID: devChangeIDPrefix + one.Name, Class: one, Operator: "dev"}
 		if err := untilDone(ctx, func() error { _, err := client.ChangeClass(ctx, change); return err }); err != nil {
 			return err
--- /dev/null
+++ b/daemon/load_bench_test.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/admission"
+	"lovageslip/class"
+	"lovageslip/loadgen"
+)
+
+const (
+	// benchService and the three upstreams of five slots make a capacity of
+	// 3,000 reads a second; benchRate is a fifth of that, so that a peak of
+	// ten times the rate is twice the capacity.
+	benchService = 5 * time.Millisecond
+	benchRate    = 600
+	benchTime    = 20 * time.Second
+	benchWait    = 500 * time.Millisecond
+	benchSeed    = 7
+)
+
+// policies are measured one after the other in the same run.
+var policies = []struct {
+	name string
+	make func() admission.Policy
+}{
+	{"fifo", func() admission.Policy { return admission.NewFIFO() }},
+	{"shortest", func() admission.Policy { return admission.NewShortest() }},
+}
+
+// BenchmarkPeak plays ten times the load for 5 s against the whole path, with
+// both policies. Run it with -benchtime=1x -v for the tables.
+func BenchmarkPeak(b *testing.B) {
+	profile := loadgen.PendragonLloyd(benchRate, benchTime).
+		WithService("", benchService).
+		WithPeak(benchTime/2-5*time.Second, 5*time.Second, 10)
+	comparePolicies(b, profile)
+}
+
+// BenchmarkStragglers plays a steady load in which 1 % of the reads run 100
+// times longer than the rest.
+func BenchmarkStragglers(b *testing.B) {
+	profile := loadgen.PendragonLloyd(benchRate, benchTime).
+		WithService("", benchService).
+		WithStragglers(0.01, 100, benchService)
+	comparePolicies(b, profile)
+}
+
+func comparePolicies(b *testing.B, profile loadgen.Profile) {
+	profile = profile.WithClass("", "browsing").WithClass("write", "ordering").WithWait("", benchWait)
+	for range b.N {
+		for _, policy := range policies {
+			result := playAgainst(b, profile, policy.make)
+			for _, work := range result.Work {
+				b.ReportMetric(100*work.Share, fmt.Sprintf("%s-%s-inside-%%", policy.name, work.Name))
+				b.ReportMetric(float64(work.Latency.P99.Milliseconds()), fmt.Sprintf("%s-%s-p99-ms", policy.name, work.Name))
+			}
+			b.Logf("policy %s", policy.name)
+			assert.NilError(b, result.WriteTable(b.Output()))
+			assert.NilError(b, result.WriteChart(b.Output()))
+		}
+	}
+}
+
+// playAgainst runs a profile against a new development set-up.
+func playAgainst(b *testing.B, profile loadgen.Profile, policy func() admission.Policy) *loadgen.Result {
+	b.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ready, ended := make(chan struct{}), make(chan error, 1)
+	callers := freeAddress(b)
+	options := DevOptions{
+		Callers: callers, Hosts: freeAddress(b), Control: freeAddress(b), Database: "trade", Lag: 5 * time.Millisecond,
+		Classes: []class.Class{
+			{Name: "browsing", Wait: benchWait, Age: 5 * time.Second},
+			{Name: "ordering", Wait: 10 * time.Second},
+		},
+		Policy: policy,
+		Ready:  func() { close(ready) },
+	}
+	go func() { ended <- RunDev(ctx, options) }()
+	select {
+	case <-ready:
+	case err := <-ended:
+		b.Fatal(err)
+	}
+	assert.NilError(b, loadgen.Setup(ctx, callers, "trade"))
+	result, err := loadgen.Run(ctx, loadgen.Options{
+		Targets: []string{callers}, Database: "trade", Profile: profile, Sessions: 2000, Seed: benchSeed,
+	})
+	assert.NilError(b, err)
+	stop()
+	assert.NilError(b, <-ended)
+	return result
+}
+
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/uber-go/tally/v4"
 
+	"lovageslip/admission"
 	"lovageslip/caller/pgcaller"
 	"lovageslip/entry"
 	"lovageslip/exchange"
@@ -27,11 +28,14 @@
 	"lovageslip/tlsconf"
 )
 
-// Listeners are the open listeners of a proxy; a nil one is opened on the
-// address of the settings.
-type Listeners struct {
+// ProxyOptions are what the settings of a proxy do not say.
+type ProxyOptions struct {
+	// Callers and Hosts are open listeners; a nil one is opened on the
+	// address of the settings.
 	Callers net.Listener
 	Hosts   net.Listener
+	// Policy makes the queues' policy; the product's own if nil.
+	Policy func() admission.Policy
 }
 
 // proxy is the assembly of one proxy host.
@@ -49,31 +53,31 @@
 
 // RunProxy runs a proxy host. When ctx ends, it shuts down gracefully within
 // the deadline of the settings: nothing in flight is cut off before that.
-func RunProxy(ctx context.Context, s *settings.Proxy, listeners Listeners, log *slog.Logger) error {
+func RunProxy(ctx context.Context, s *settings.Proxy, o ProxyOptions, log *slog.Logger) error {
 	scope, metricsHandler, closer := metrics.NewScope()
 	defer closer.Close()
 	hosts, err := loadHostTLS(s.TLSHosts)
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(s, hosts, log, scope)
+	p, err := newProxy(s, hosts, o.Policy, log, scope)
 	if err != nil {
 		return err
 	}
 	defer p.owner.Close()
 	defer p.client.Close()
-	callerListener, err := listen(listeners.Callers, s.Callers, &tlsServer{})
+	callerListener, err := listen(o.Callers, s.Callers, &tlsServer{})
 	if err != nil {
 		return err
 	}
-	hostListener, err := listen(listeners.Hosts, s.Hosts, hosts.server)
+	hostListener, err := listen(o.Hosts, s.Hosts, hosts.server)
 	if err != nil {
 		return err
 	}
 	return p.run(ctx, callerListener, hostListener, metricsHandler)
 }
 
-func newProxy(s *settings.Proxy, hosts hostTLS, log *slog.Logger, scope tally.Scope) (*proxy, error) {
+func newProxy(s *settings.Proxy, hosts hostTLS, policy func() admission.Policy, log *slog.Logger, scope tally.Scope) (*proxy, error) {
 	callerTLS, err := tlsconf.Server(s.TLSCallers)
 	if err != nil {
 		return nil, err
@@ -101,7 +105,7 @@
 		DataCentre: s.DataCentre, Health: healthOf{p}, HTTPClient: controlClient,
 	})
 	p.owner = owner.New(owner.Options{
-		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent,
+		Log: log, Metrics: scope, Host: s.Name, Directory: p.agent, Leases: p.agent, Policy: policy,
 		Dialer: dialer,
 	})
 	p.exchanges = exchange.NewDrainableServer(p.owner)
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -218,7 +218,7 @@
 	}
 	s.callerTo = append(s.callerTo, callers.Addr().String())
 	s.run(name, func(ctx context.Context) error {
-		return RunProxy(ctx, proxy, Listeners{Callers: callers, Hosts: hosts}, s.logger(name))
+		return RunProxy(ctx, proxy, ProxyOptions{Callers: callers, Hosts: hosts}, s.logger(name))
 	})
 }
 
