--- a/admission/shortest.go
+++ b/admission/shortest.go
@@ -157,11 +157,31 @@
 	return r
 }
 
+// expect returns the service time of a kind. Work that was stopped is unlike
+// the rest of its kind: it takes as long as other work that ran too long.
+func (p *Shortest) expect(b *board, k bucketKey, now time.Time) service {
+	s := b.learned.expect(k.kind, now)
+	if !k.long {
+		return s
+	}
+	mean := p.overrunMean(now)
+	return service{mean: max(s.mean, mean), capped: s.capped, typical: max(s.typical, mean)}
+}
+
+// overrunMean is zero if nothing has run past the limit for a stop lately.
+func (p *Shortest) overrunMean(now time.Time) float64 {
+	p.overrun.decay(now)
+	if p.overrun.weight < forgotten {
+		return 0
+	}
+	return p.overrun.sum / p.overrun.weight
+}
+
 func (p *Shortest) next(b *board, now time.Time) *waiter {
 	var best *waiter
 	var bestRank rank
 	for _, bk := range p.buckets {
-		s := b.learned.expect(bk.key.kind, now)
+		s := p.expect(b, bk.key, now)
 		w := bk.first()
 		w.long = b.long(bk.key, s, now)
 		if w.long && !p.roomForLong(b, w, s.typical, now) {
@@ -218,7 +238,7 @@
 
 func (p *Shortest) allows(b *board, w *waiter, now time.Time) bool {
 	k := w.bucketKey()
-	w.long = b.long(k, b.learned.expect(k.kind, now), now)
+	w.long = b.long(k, p.expect(b, k, now), now)
 	return !w.long || b.runningLong(now) < b.hardLimit()
 }
 
@@ -240,11 +260,11 @@
 		return 0, limit
 	}
 	k := w.bucketKey()
-	mine := b.learned.expect(k.kind, now)
+	mine := p.expect(b, k, now)
 	long := b.long(k, mine, now)
 	ahead, slots := p.running(b, long, now)
 	for _, bk := range p.buckets {
-		s := b.learned.expect(bk.key.kind, now)
+		s := p.expect(b, bk.key, now)
 		if b.long(bk.key, s, now) == long {
 			ahead += s.of(long) * bk.before(w.deadline)
 		}
@@ -282,7 +302,7 @@
 			others++
 			continue
 		}
-		e := b.learned.expect(s.work.key(), now)
+		e := p.expect(b, s.work.bucketKey(), now)
 		rest += max(e.of(long)-now.Sub(s.since).Seconds(), 0)
 	}
 	slots = max(b.slots-others, 1)
--- a/admission/stop.go
+++ b/admission/stop.go
@@ -75,8 +75,8 @@
 // expected to go on for much longer. Otherwise a stop only wastes what has
 // been done.
 func (p *Shortest) stopPays(limit float64, now time.Time) bool {
-	p.overrun.decay(now)
-	return p.overrun.weight < forgotten || p.overrun.sum/p.overrun.weight >= stopGain*limit
+	mean := p.overrunMean(now)
+	return mean == 0 || mean >= stopGain*limit
 }
 
 // stoppable returns the youngest work that counts as long although it was
@@ -109,7 +109,7 @@
 
 func (p *Shortest) shortWaits(b *board, now time.Time) bool {
 	for _, bk := range p.buckets {
-		if !b.long(bk.key, b.learned.expect(bk.key.kind, now), now) {
+		if !b.long(bk.key, p.expect(b, bk.key, now), now) {
 			return true
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -138,12 +138,12 @@
 			done <- err
 		}()
 	}
-	eventually(t, "two dials", func() bool { return d.get(func() int { return d.dialing }) == maxDials })
+	eventually(t, "two dials", func() bool { return d.get(func() int { return d.dialing }) >= 2 })
 	close(d.hold)
 	for range 20 {
 		assert.NilError(t, <-done)
 	}
-	assert.Equal(t, d.get(func() int { return d.peak }), maxDials)
+	assert.Equal(t, d.get(func() int { return d.peak }), 2)
 }
 
 // Guards against a busy loop of dials to a server that refuses, and against
