Refuse new work on an upstream that answers no status queries

New work on a cut-off upstream waited for its connections to be found silent and ended with an unknown outcome. Waiting for a connection in vain is no longer reported as cancelled.

--- a/owner/admit.go
+++ b/owner/admit.go
@@ -15,6 +15,10 @@
 // viewTimeout bounds the wait for a version that the entry has seen already.
 const viewTimeout = time.Second
 
+// refuseAfter is how long status queries must have failed before new work is
+// refused. One late answer of a busy server is no reason.
+const refuseAfter = 700 * time.Millisecond
+
 // minConnWait lets work with hardly any wait left, but a slot, still dial.
 const minConnWait = 100 * time.Millisecond
 
@@ -86,6 +90,9 @@
 	if s.open.ConfigVersion < view.ConfigVersion {
 		return s.refuse(fault.ReasonConfigBehind, "the entry holds an older version")
 	}
+	if s.unit.poller.unreachable() >= refuseAfter {
+		return s.refuse(fault.ReasonUpstreamUnavailable, "the upstream does not answer status queries")
+	}
 	if up.Leaving {
 		return s.refuse(fault.ReasonLeaving, "the upstream is leaving")
 	}
@@ -142,8 +149,6 @@
 		j.conn = conn
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(j.remaining(), minConnWait))
-	defer cancel()
 	if u.pool.CanDial() {
 		return j.getConn(ctx)
 	}
@@ -157,7 +162,12 @@
 }
 
 func (j *job) getConn(ctx context.Context) error {
-	conn, err := j.stream.unit.pool.Get(ctx)
+	bounded, cancel := context.WithTimeout(ctx, max(j.remaining(), minConnWait))
+	defer cancel()
+	conn, err := j.stream.unit.pool.Get(bounded)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return j.stream.refuse(fault.ReasonUpstreamUnavailable, "no connection was free in time")
+	}
 	if err != nil {
 		return j.counted(err)
 	}
--- a/owner/stream_test.go
+++ b/owner/stream_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovageslip/exchange"
 	"lovageslip/fault"
 	"lovageslip/registry"
 	"lovageslip/upstream"
@@ -325,3 +326,39 @@
 	eventually(t, "the report", func() bool { return healthOf("a").Unreachable > 300*time.Millisecond })
 	assert.Assert(t, !healthOf("a").Reachable)
 }
+
+// Guards against new work that waits on an upstream known to be cut off, and
+// against giving it an unknown outcome.
+func TestNewWorkOnUnreachableUpstreamRefused(t *testing.T) {
+	w, o := newWorld(t)
+	w.servers["b"].set(func(s *server) { s.down = true })
+	eventually(t, "the poller to notice", func() bool { return o.units["b"].poller.unreachable() >= refuseAfter })
+	_, _, err := run(t, o, "b", "soon", batch(upstream.ModeRead, "select"))
+	assert.Assert(t, isNotRun(err))
+	assert.Equal(t, reasonOf(err), fault.ReasonUpstreamUnavailable)
+}
+
+// Guards against a deadlock in which new work holds all slots while it waits
+// for connections that open transactions hold.
+func TestTransactionsFinishWhenConnectionsRunOut(t *testing.T) {
+	w, o := newWorld(t)
+	w.servers["b"].set(func(s *server) { s.status.Offset = 1000 })
+	var streams []exchange.Stream
+	for range 8 {
+		s := open(t, o, "a", "now")
+		_, err := s.Run(context.Background(), batch(upstream.ModeWrite, "begin"), func([]byte) error { return nil })
+		assert.NilError(t, err)
+		streams = append(streams, s)
+	}
+	var results []<-chan error
+	for range 6 {
+		results = append(results, background(context.Background(), t, o, "soon", batch(upstream.ModeRead, "select")))
+	}
+	for _, s := range streams {
+		_, err := s.Run(context.Background(), batch(upstream.ModeWrite, "commit"), func([]byte) error { return nil })
+		assert.NilError(t, err)
+	}
+	for _, r := range results {
+		assert.NilError(t, <-r)
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -262,6 +262,7 @@
 func (p *Pool) offer(c upstream.Conn) {
 	if p.closed || p.open > p.limit {
 		p.lose(c)
+		p.dial()
 		return
 	}
 	if len(p.waiting) == 0 {
