Count the whole queue in hints and in retry hints

The expected wait of a typical request counted only what runs, because the probe had no wait left and so went before everything (red test: 0.99 s instead of more than 4 s). Refusals now name the time that the queue needs, not the small part of it beyond the limit, so that callers of a lasting overload do not come back every 50 ms.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"lovageslip/class"
 	"lovageslip/fault"
 	"lovageslip/logging"
 	"lovageslip/metrics"
@@ -174,21 +175,22 @@
 	if q.full(w) {
 		return q.refuse(w, fault.ReasonQueueFull, "the queue of the upstream is full", q.backlog(now))
 	}
-	if excess := q.excess(w, now); excess > 0 {
-		return q.refuse(w, fault.ReasonWaitExceeded, "the predicted start lies beyond the wait", excess)
+	if start, late := q.late(w, now); late {
+		return q.refuse(w, fault.ReasonWaitExceeded, "the predicted start lies beyond the wait", start)
 	}
 	q.add(w, now)
 	q.dispatch(now)
 	return nil
 }
 
-// excess is how far the predicted start of w lies beyond what it may wait.
-func (q *Queue) excess(w *waiter, now time.Time) time.Duration {
+// late returns the predicted start of w and whether it lies beyond what w may
+// wait.
+func (q *Queue) late(w *waiter, now time.Time) (start time.Duration, late bool) {
 	if w.Continuation || w.Long {
-		return 0
+		return 0, false
 	}
 	start, limit := q.policy.predict(&q.board, w, now)
-	return start - limit
+	return start, start > limit
 }
 
 func (q *Queue) refuse(w *waiter, reason fault.Reason, detail string, drain time.Duration) error {
@@ -209,7 +211,8 @@
 }
 
 func (q *Queue) backlog(now time.Time) time.Duration {
-	probe := &waiter{arrived: now, deadline: now}
+	// With a deadline far away, everything that waits goes before the probe.
+	probe := &waiter{arrived: now, deadline: now.Add(class.MaxWait)}
 	start, _ := q.policy.predict(&q.board, probe, now)
 	return start
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -163,6 +163,24 @@
 	assert.Assert(t, len(times) > 1)
 }
 
+// Guards against hints that show an idle upstream while a queue stands, which
+// would draw more work to it.
+func TestExpectedWaitCountsTheQueue(t *testing.T) {
+	q := New(Options{Slots: 1})
+	for range 20 {
+		acquire(t, q, request(1)).Release(time.Second)
+	}
+	held := acquire(t, q, request(1))
+	defer held.Release(time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for n := range 5 {
+		inBackground(ctx, q, request(1))
+		waitQueued(t, q, n+1)
+	}
+	assert.Assert(t, q.ExpectedWait() > 4*time.Second, "%v", q.ExpectedWait())
+}
+
 // Guards against unbounded memory, and against one caller taking the whole
 // queue.
 func TestQueueBounds(t *testing.T) {
