Learn network time without the owner's time; count own requests in the wait

Cause: the router learned the distance of an upstream from the whole duration of an exchange, so a queue at one upstream made it look far away for as long as nothing was sent there; all reads then queued at the other one. Ruled out: the queue's policy (first come first served showed the same), the stand-in (loaded directly it did not).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -303,6 +303,15 @@
 	return q.backlog(q.clock.Now())
 }
 
+// Pace is the mean time between two starts while work waits, and how many
+// slots there are.
+func (q *Queue) Pace() (interval time.Duration, slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := q.board.learned.all.refine(service{}, q.clock.Now())
+	return seconds(all.mean / float64(max(q.board.slots, 1))), q.board.slots
+}
+
 // Queued is how many requests wait.
 func (q *Queue) Queued() int {
 	q.mu.Lock()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -163,7 +163,7 @@
 		_ = stream.Close() // the exchange has ended with the error
 		return done, err
 	}
-	a.entry.router.Finished(name, time.Since(begun))
+	a.entry.router.Finished(name, time.Since(begun)-done.Spent)
 	a.entry.router.Observe(done.Hint)
 	if done.State == upstream.StateIdle {
 		_ = stream.Close() // nothing is open on it
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -33,6 +33,10 @@
 	DataAge      time.Duration
 	ExpectedWait time.Duration
 	Queued       int
+	// Interval is the mean time between two starts while the queue is not
+	// empty, and Slots how many statements run at a time.
+	Interval time.Duration
+	Slots    int
 }
 
 // Done is the outcome of a batch that was answered completely.
@@ -41,7 +45,10 @@
 	// Commit is the position of the commit; zero if nothing was written.
 	Commit        upstream.Position
 	DatabaseError bool
-	Hint          Hint
+	// Spent is the time from the arrival of the batch at the owner to the
+	// end of its answer; the rest of what the entry measures is network time.
+	Spent time.Duration
+	Hint  Hint
 }
 
 // Stream is one exchange. Run is called by one goroutine at a time; Cancel and
--- a/exchange/wire.go
+++ b/exchange/wire.go
@@ -102,6 +102,7 @@
 		Commit:        positionToWire(d.Commit),
 		Hint:          hintToWire(d.Hint),
 		DatabaseError: d.DatabaseError,
+		SpentMicros:   d.Spent.Microseconds(),
 	}
 	return &lovageslipv1.RunResponse{Message: &lovageslipv1.RunResponse_Done{Done: done}}
 }
@@ -111,6 +112,7 @@
 		State:         upstream.TransactionState(d.GetState()),
 		Commit:        positionFromWire(d.GetCommit()),
 		DatabaseError: d.GetDatabaseError(),
+		Spent:         micros(d.GetSpentMicros()),
 		Hint:          hintFromWire(d.GetHint()),
 	}
 }
@@ -124,6 +126,8 @@
 		DataAgeMicros:      h.DataAge.Microseconds(),
 		ExpectedWaitMicros: h.ExpectedWait.Microseconds(),
 		Queued:             uint32(h.Queued),
+		IntervalMicros:     h.Interval.Microseconds(),
+		Slots:              uint32(h.Slots),
 	}
 }
 
@@ -135,6 +139,8 @@
 		DataAge:      micros(h.GetDataAgeMicros()),
 		ExpectedWait: micros(h.GetExpectedWaitMicros()),
 		Queued:       int(h.GetQueued()),
+		Interval:     micros(h.GetIntervalMicros()),
+		Slots:        int(h.GetSlots()),
 	}
 }
 
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -190,6 +190,7 @@
 			return exchange.Done{}, j.unknown(err)
 		}
 	}
+	done.Spent = time.Since(j.arrived)
 	done.Hint = j.stream.unit.hint()
 	return done, nil
 }
--- a/owner/unit.go
+++ b/owner/unit.go
@@ -114,6 +114,7 @@
 		ExpectedWait: u.queue.ExpectedWait(),
 		Queued:       u.queue.Queued(),
 	}
+	hint.Interval, hint.Slots = u.queue.Pace()
 	if known {
 		hint.Position = status.Position()
 		hint.Primary = u.isPrimary(status)
--- a/route/route.go
+++ b/route/route.go
@@ -263,14 +263,14 @@
 	r.state(name).outstanding++
 }
 
-// Finished counts the end of a request and learns the network time from its
-// duration; zero if the request was not answered.
-func (r *Router) Finished(name string, elapsed time.Duration) {
+// Finished counts the end of a request and learns the network time: its
+// duration less the time that the owner spent; zero if it was not answered.
+func (r *Router) Finished(name string, network time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(name)
 	s.outstanding--
-	s.learnNetwork(elapsed)
+	s.learnNetwork(network)
 }
 
 // Stale learns from an upstream's refusal of a request as stale.
--- a/route/state.go
+++ b/route/state.go
@@ -40,7 +40,7 @@
 	hintAt time.Time
 	// lag is how long after its commit a write is expected to be applied.
 	lag time.Duration
-	// network is the shortest recent duration of an exchange.
+	// network is the shortest recent network time of an exchange.
 	network     time.Duration
 	outstanding int
 	// outFor holds the classes whose set the replica has left.
@@ -126,11 +126,16 @@
 	return max(0, s.lag-request.SinceMin)
 }
 
-// expectedWait is the hinted wait, less the time since the hint.
+// expectedWait is the hinted wait, less the time since the hint, or the wait
+// behind this host's own requests if that is longer: they may have been sent
+// after the hint.
 func (s *state) expectedWait(now time.Time) time.Duration {
-	load := time.Duration(max(0, s.outstanding)) * outstandingCost
+	outstanding := max(0, s.outstanding)
+	load := time.Duration(outstanding) * outstandingCost
 	if s.hintAt.IsZero() {
 		return load
 	}
-	return load + max(0, s.hint.ExpectedWait-now.Sub(s.hintAt))
+	hinted := s.hint.ExpectedWait - now.Sub(s.hintAt)
+	own := time.Duration(outstanding-s.hint.Slots+1) * s.hint.Interval
+	return load + max(0, hinted, own)
 }
