--- a/owner/poll.go
+++ b/owner/poll.go
@@ -64,7 +64,7 @@
 		conn = c
 		began = time.Now()
 	}
-	status, err := conn.Status(ctx)
+	status, err := statusOf(ctx, conn)
 	if err != nil {
 		closeConn(conn)
 		p.fail()
@@ -74,6 +74,13 @@
 	return conn
 }
 
+// statusOf closes the connection when ctx ends, so that a connection that does
+// not answer never blocks its caller.
+func statusOf(ctx context.Context, conn upstream.Conn) (upstream.Status, error) {
+	defer context.AfterFunc(ctx, func() { closeConn(conn) })()
+	return conn.Status(ctx)
+}
+
 func (p *poller) fail() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -101,12 +108,14 @@
 }
 
 // unreachable is how long all queries have failed; zero if the last one
-// succeeded.
+// succeeded. A poller that does not come round counts as failing, for example
+// while a dial hangs.
 func (p *poller) unreachable() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.failed {
+	since := time.Since(p.lastSuccess)
+	if !p.failed && since <= pollInterval+2*pollTimeout {
 		return 0
 	}
-	return time.Since(p.lastSuccess)
+	return since
 }
--- a/owner/watcher.go
+++ b/owner/watcher.go
@@ -81,6 +81,8 @@
 	status, position := w.confirmer.demand(w)
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	// A member that does not answer must not block its watcher.
+	defer context.AfterFunc(ctx, func() { closeConn(conn) })()
 	if !status && position != (upstream.Position{}) {
 		return conn.Wait(ctx, position, waitChunk)
 	}
