--- a/owner/confirm_test.go
+++ b/owner/confirm_test.go
@@ -73,6 +73,7 @@
 // committed while only the primary holds the commit.
 func TestResentTransactionToldOnlyAfterMajority(t *testing.T) {
 	w, o := newWorld(t)
+	o.opts.ConfirmTimeout = 100 * time.Millisecond
 	w.servers["a"].set(func(s *server) {
 		s.behave = func(c *conn, b upstream.Batch) (upstream.Result, error) {
 			return c.server.answer(b), &fault.AlreadyCommitted{RequestID: "r"}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,7 +34,8 @@
 	Bounds admission.Bounds
 	// Policy makes the policy of each queue; nil means admission.NewShortest.
 	Policy func() admission.Policy
-	// ConfirmTimeout bounds the wait for a majority after a commit.
+	// ConfirmTimeout bounds the wait for a majority after a commit; zero
+	// means the class's wait, at least minConfirmTimeout.
 	ConfirmTimeout time.Duration
 	// SilentAfter is how long a connection may deliver nothing before it is
 	// probed.
@@ -42,8 +43,9 @@
 }
 
 const (
-	defaultConfirmTimeout = 5 * time.Second
-	defaultSilentAfter    = time.Second
+	// minConfirmTimeout leaves room for replicas that lag by some seconds.
+	minConfirmTimeout  = 5 * time.Second
+	defaultSilentAfter = time.Second
 )
 
 // Owner runs exchanges on owned upstreams. It is safe for concurrent use.
@@ -68,9 +70,6 @@
 
 // New returns an owner and starts to follow the directory.
 func New(o Options) *Owner {
-	if o.ConfirmTimeout == 0 {
-		o.ConfirmTimeout = defaultConfirmTimeout
-	}
 	if o.SilentAfter == 0 {
 		o.SilentAfter = defaultSilentAfter
 	}
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -203,7 +203,7 @@
 		return j.unknown(&Unconfirmed{Term: after.Term})
 	}
 	c := u.confirm.start(&confirmation{term: after.Term, position: after.Position()})
-	if err := u.confirm.wait(ctx, c, j.stream.owner.opts.ConfirmTimeout); err != nil {
+	if err := u.confirm.wait(ctx, c, j.confirmTimeout()); err != nil {
 		return j.unknown(err)
 	}
 	// A majority of members that were replaced meanwhile proves nothing. The
@@ -214,6 +214,15 @@
 	return nil
 }
 
+// confirmTimeout bounds the wait for a majority. An unknown outcome is worse for
+// a caller than a wait that its class allows.
+func (j *job) confirmTimeout() time.Duration {
+	if fixed := j.stream.owner.opts.ConfirmTimeout; fixed > 0 {
+		return fixed
+	}
+	return max(minConfirmTimeout, j.class.Wait)
+}
+
 func (j *job) unknown(err error) error {
 	return j.unknownFor(fault.ReasonOutcomeUnknown, err)
 }
