Take test ports below the range of outgoing connections

With 24 proxies a port that had been free was taken by an outgoing connection before the daemon opened it; the daemon ended and the site never got ready.

--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,13 +123,31 @@
 	return path
 }
 
+// Ports below the range from which the system takes the ports of outgoing
+// connections. A port from that range may be taken between the look and its use.
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(ports)) }
+
 // freeAddress returns a loopback address that was free a moment ago.
 func (s *site) freeAddress() string {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(s.t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
+	}
+	s.t.Fatal("no free port")
+	return ""
 }
 
 // addLink puts the fault-injecting proxy before an address and returns the
