--- a/integration/writer_test.go
+++ b/integration/writer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,8 @@
 	acked   map[int]bool
 	notRun  map[int]bool
 	unknown map[int]bool
+	// failures are the errors behind unknown.
+	failures []error
 	// gap is the longest time between two acknowledgements, lastAck the
 	// time of the last one.
 	gap     time.Duration
@@ -55,6 +59,7 @@
 		r.notRun[id] = true
 	default:
 		r.unknown[id] = true
+		r.failures = append(r.failures, err)
 	}
 }
 
@@ -64,6 +69,13 @@
 	return len(r.acked)
 }
 
+// givenUp lists the writes whose callers were told anything but success.
+func (r *record) givenUp() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Concat(slices.Collect(maps.Keys(r.notRun)), slices.Collect(maps.Keys(r.unknown)))
+}
+
 // nextID gives each write of a test its own id.
 var nextID atomic.Int64
 
--- a/standin/execute.go
+++ b/standin/execute.go
@@ -221,6 +221,7 @@
 }
 
 func (s *session) executeInDatabase(st *statement, args []any, sink *rowSink) (string, *pgError) {
+	s.server.statements.Add(1)
 	p, failure := s.prepare(st.sql)
 	if failure != nil {
 		return "", failure
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -80,6 +80,7 @@
 	serviceTime atomic.Int64
 	maxSessions atomic.Int64
 	linkBroken  atomic.Bool
+	statements  atomic.Int64
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -270,6 +271,10 @@
 	return len(s.sessions)
 }
 
+// Statements returns how many statements of callers the server has begun. Its own
+// functions, replication and statements about a session's settings don't count.
+func (s *Server) Statements() int64 { return s.statements.Load() }
+
 // AnnounceLeaving tells every announced address that the server is leaving.
 // It returns once one has answered.
 func (s *Server) AnnounceLeaving(ctx context.Context) error {
