--- a/integration/writer_test.go
+++ b/integration/writer_test.go
@@ -35,8 +35,10 @@
 	acked   map[int]bool
 	notRun  map[int]bool
 	unknown map[int]bool
-	// failures are the errors behind unknown.
+	// failures are the errors behind unknown, refusal is the last one behind
+	// notRun.
 	failures []error
+	refusal  error
 	// gap is the longest time between two acknowledgements, lastAck the
 	// time of the last one.
 	gap     time.Duration
@@ -57,6 +59,7 @@
 		r.lastAck = time.Now()
 	case sqlState(err) == notRunCode:
 		r.notRun[id] = true
+		r.refusal = err
 	default:
 		r.unknown[id] = true
 		r.failures = append(r.failures, err)
