--- /dev/null
+++ b/integration/majority_test.go
@@ -0,0 +1,62 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a write that is acknowledged by a minority, and against a
+// change of primary without a majority, which could lose acknowledged writes.
+func TestTwoOfThreeUpstreamsLostAcknowledgesNothing(t *testing.T) {
+	s := startSite(t, siteOptions{controls: 1, proxies: 2})
+	writers, stop := s.runWriters(2, true)
+	defer stop()
+	for _, r := range writers {
+		s.awaitMore(r, 5)
+	}
+	name, _ := s.primary()
+	term := s.group("diary").GetTerm()
+	var lost []string
+	for other, server := range s.upstreams {
+		if other != name {
+			server.Kill()
+			lost = append(lost, other)
+		}
+	}
+	// What was confirmed before the loss may still be on its way to its caller.
+	time.Sleep(500 * time.Millisecond)
+	before := acknowledged(writers)
+	readers, stopReaders := s.runReaders()
+	defer stopReaders()
+	// Longer than the detection of a lost primary and a change of primary take.
+	time.Sleep(4 * time.Second)
+	assert.Equal(t, acknowledged(writers), before, "writes were acknowledged without a majority")
+	group := s.group("diary")
+	assert.Equal(t, group.GetPrimary(), name, "the primary changed without a majority")
+	assert.Equal(t, group.GetTerm(), term, "the term changed without a majority")
+	for _, r := range readers {
+		r.mu.Lock()
+		t.Logf("%d reads, %d refused, the last one with: %v", len(r.acked), len(r.notRun), r.refusal)
+		r.mu.Unlock()
+	}
+	for _, r := range readers {
+		s.awaitMore(r, 5)
+	}
+	assert.NilError(t, s.upstreams[lost[0]].Restart())
+	for _, r := range writers {
+		s.awaitMore(r, 5)
+	}
+	stop()
+	stopReaders()
+	s.assertEachOnce(0, writers...)
+}
+
+func acknowledged(records []*record) int {
+	n := 0
+	for _, r := range records {
+		n += r.count()
+	}
+	return n
+}
--- /dev/null
+++ b/integration/silent_test.go
@@ -0,0 +1,69 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// silentLimit bounds the answer of work that was sent on a silent connection.
+const silentLimit = 8 * time.Second
+
+// Guards against connections that stay open but deliver nothing, in either
+// direction, while new ones work: their callers must not wait for ever.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	s := startSite(t, siteOptions{controls: 1, proxies: 2, relays: true})
+	for _, between := range []string{"owner and upstream", "entry and owner"} {
+		s.in(between, func(t *testing.T) {
+			primary, _ := s.primary()
+			owner := s.ownerOf(primary)
+			l := s.links[primary]
+			if between == "entry and owner" {
+				l = s.links[fmt.Sprintf("proxy-%d", owner+1)]
+			}
+			entry := s.otherProxy(owner)
+			for _, kind := range []string{"read", "write with a request id", "write"} {
+				s.workOnSilent(l, entry, kind)
+			}
+		})
+	}
+}
+
+// workOnSilent runs one statement on connections that have gone silent.
+func (s *site) workOnSilent(l *link, entry int, kind string) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), setUpTimeout)
+	defer cancel()
+	conn := s.connect(entry, "filing")
+	s.await("working connections", func(ctx context.Context) error {
+		return run(ctx, conn, "SELECT count(*) FROM entries", "INSERT INTO entries (note) VALUES ('before')")
+	})
+	note := fmt.Sprintf("silent %d", nextID.Add(1))
+	if kind == "write with a request id" {
+		assert.NilError(s.t, run(ctx, conn, "SET lovageslip.request_id = '"+note+"'"))
+	}
+	l.relay.silence()
+	began := time.Now()
+	sql := "INSERT INTO entries (note) VALUES ('" + note + "')"
+	if kind == "read" {
+		sql = "SELECT count(*) FROM entries"
+	}
+	limited, stop := context.WithTimeout(ctx, 2*silentLimit)
+	defer stop()
+	err := run(limited, conn, sql)
+	took := time.Since(began)
+	s.t.Logf("%s: %v after %s", kind, err, took)
+	assert.Check(s.t, took < silentLimit, "%s took %s", kind, took)
+	if kind != "write" {
+		assert.Check(s.t, err, "%s on a silent connection", kind)
+		return
+	}
+	// A new connection may have taken the write; else its outcome is unknown.
+	assert.Check(s.t, err == nil || sqlState(err) == unknownCode || sqlState(err) == notRunCode, "write: %v", err)
+	if sqlState(err) == notRunCode {
+		assert.Equal(s.t, s.entries(entry)[note], 0, "a write that was not run is there")
+	}
+}
