--- a/member/watch.go
+++ b/member/watch.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"lovageslip/control/controlclient"
 	"lovageslip/controlstate"
@@ -150,6 +151,7 @@
 	a.frame = next
 	a.dropLost()
 	a.countPending()
+	a.reportConfig(old)
 	close(a.changed)
 	a.changed = make(chan struct{})
 	if a.becameOwner(old) {
@@ -167,3 +169,25 @@
 	}
 	return false
 }
+
+// reportConfig shows the configuration that the view holds, so that an operator
+// can tell which targets are in force on this host. a.mu is held.
+func (a *Agent) reportConfig(old *controlstate.Frame) {
+	a.metrics.Gauge("config_version").Update(float64(a.frame.ConfigVersion))
+	for name, c := range a.frame.Classes {
+		a.classWait(name).Update(float64(c.GetWaitMicros()) / 1e6)
+	}
+	if old == nil {
+		return
+	}
+	for name := range old.Classes {
+		if a.frame.Classes[name] == nil {
+			a.classWait(name).Update(0)
+		}
+	}
+}
+
+// classWait is zero for a class that was removed.
+func (a *Agent) classWait(name string) tally.Gauge {
+	return a.metrics.Tagged(map[string]string{"class": name}).Gauge("class_wait_seconds")
+}
