End a forwarded call when its host is not known as leader any more

Cause: a control host passed a change on to a frozen leader and waited for the whole forward timeout, although another leader was elected meanwhile. Ruled out: a slow election; the repeated call was accepted at once.

--- a/control/forward.go
+++ b/control/forward.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
 
 	"lovageslip/control/controlclient"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
@@ -44,6 +46,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.timing.ForwardTimeout)
 	defer cancel()
+	ctx, stop := s.whileLeader(ctx, address)
+	defer stop()
 	passed := connect.NewRequest(r.Msg)
 	passed.Header().Set(controlclient.ForwardedHeader, s.name)
 	s.metrics.Counter("forwarded_total").Inc(1)
@@ -54,6 +58,33 @@
 	return connect.NewResponse(response.Msg), nil
 }
 
+// whileLeader returns a context that ends once the host at an address is not
+// known as leader any more. A frozen host keeps its connections and answers
+// nothing, so without it a call would wait for the whole timeout although
+// another leader could answer.
+func (s *Server) whileLeader(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		ticker := time.NewTicker(s.timing.Tick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if _, now, _ := s.consensus.Leader(); now != address {
+					cancel()
+				}
+			}
+		}
+	})
+	return ctx, func() {
+		cancel()
+		tasks.Wait()
+	}
+}
+
 func unavailable(detail string) error {
 	return controlclient.ToConnect(&controlclient.Unavailable{Detail: detail})
 }
