--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 test:
 	@sed -n 's/^Test/KNOWN-RED: Test/p' KNOWN-RED.txt
-	go test -p 4 -timeout 25m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',) ./...
+	go test -count=1 -p 4 -timeout 25m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',) ./...
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go') | tee /dev/stderr)"
