Leave a lost replica alone for a while

Cause: a replica that is down gives no hints, and without hints it is the first choice; each read was refused there and its retry took from the budget, which ran dry after eight reads. Ruled out: the age of the class (30 s, the test takes 8 s) and the primary's confirmation. The router now keeps reads away from an upstream that could not take one, for 100 ms growing to 2 s.

--- a/entry/retry.go
+++ b/entry/retry.go
@@ -78,9 +78,7 @@
 	if refused.Reason == fault.ReasonReadOnly {
 		return a.reroute()
 	}
-	if refused.Reason == fault.ReasonStale {
-		a.entry.router.Stale(a.chosen.Upstream.Name, a.asked)
-	}
+	a.learn(refused.Reason)
 	next := remedies[refused.Reason]
 	if next == giveUp {
 		return false
@@ -103,6 +101,20 @@
 	return false
 }
 
+// learn tells the router what a refusal says of the upstream.
+func (a *attempt) learn(reason fault.Reason) {
+	name := a.chosen.Upstream.Name
+	if name == "" {
+		return
+	}
+	switch reason {
+	case fault.ReasonStale:
+		a.entry.router.Stale(name, a.asked)
+	case fault.ReasonUpstreamUnavailable, fault.ReasonLeaseLapsed, fault.ReasonShutdown, fault.ReasonSilentConnection:
+		a.entry.router.Unavailable(name)
+	}
+}
+
 // againUnknown retries where a second run is harmless.
 func (a *attempt) againUnknown(ctx context.Context, unknown *fault.OutcomeUnknown, changed <-chan struct{}) bool {
 	a.unknown = unknown
@@ -113,6 +125,7 @@
 	if a.mode == upstream.ModeRead {
 		// The server refuses writes in read mode, so the first try changed
 		// nothing and a second run is harmless.
+		a.entry.router.Unavailable(a.chosen.Upstream.Name)
 		a.exclude()
 		return a.spend(unknown.Reason)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -213,7 +213,7 @@
 	now := r.now()
 	delay := time.Duration(0)
 	if !primary {
-		if !s.fresh(request.Class, now) {
+		if now.Before(s.downUntil) || !s.fresh(request.Class, now) {
 			return pick{}
 		}
 		delay = s.delay(request)
@@ -279,3 +279,12 @@
 	defer r.mu.Unlock()
 	r.state(name).stale(request, r.now())
 }
+
+// Unavailable learns that an upstream could not take a request. If it is a
+// replica, reads go elsewhere for a while, so that a lost replica does not cost
+// each of them a retry.
+func (r *Router) Unavailable(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state(name).unavailable(r.now())
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -150,3 +150,21 @@
 	request.Remaining = 300 * time.Millisecond
 	assert.Equal(t, chosen(t, r, request), "primary")
 }
+
+// Guards against a lost replica that stays the first choice of every read and
+// uses up the retries.
+func TestLostReplicaIsLeftAloneForAWhile(t *testing.T) {
+	r, c := newRouter()
+	request := read(view())
+	r.Unavailable("near")
+	assert.Equal(t, chosen(t, r, request), "far")
+	r.Unavailable("far")
+	assert.Equal(t, chosen(t, r, request), "primary")
+	c.advance(100 * time.Millisecond)
+	assert.Equal(t, chosen(t, r, request), "near")
+	r.Unavailable("near")
+	c.advance(100 * time.Millisecond)
+	assert.Assert(t, chosen(t, r, request) != "near", "the second time is longer")
+	r.Observe(hint("near", 0, 1))
+	assert.Equal(t, chosen(t, r, request), "near")
+}
--- a/route/state.go
+++ b/route/state.go
@@ -20,7 +20,7 @@
 	// near the limit from leaving and returning with every hint.
 	returnShare = 0.8
 	// minHold and maxHold bound how long a replica that refused a read as
-	// too old is left alone.
+	// too old, or could not take it, is left alone.
 	minHold = 100 * time.Millisecond
 	maxHold = 2 * time.Second
 	// maxLag bounds the learned replication lag.
@@ -45,6 +45,10 @@
 	outstanding int
 	// outFor holds the classes whose set the replica has left.
 	outFor map[string]bool
+	// downUntil keeps reads away from a replica that could not take any, and
+	// down is for how long the last time.
+	downUntil time.Time
+	down      time.Duration
 	// heldUntil keeps reads of classes with an age up to heldAge away.
 	heldUntil time.Time
 	heldAge   time.Duration
@@ -54,6 +58,7 @@
 func (s *state) observe(hint exchange.Hint, now time.Time) {
 	s.hint = hint
 	s.hintAt = now
+	s.downUntil, s.down = time.Time{}, 0
 	if hint.Primary {
 		return
 	}
@@ -89,6 +94,15 @@
 	s.heldAge = request.Class.Age
 }
 
+// unavailable notes that the upstream could not take a request.
+func (s *state) unavailable(now time.Time) {
+	if now.Before(s.downUntil) {
+		return
+	}
+	s.down = min(maxHold, max(minHold, 2*s.down))
+	s.downUntil = now.Add(s.down)
+}
+
 // fresh reports whether the replica is in the class's set.
 func (s *state) fresh(c class.Class, now time.Time) bool {
 	if c.Age == 0 {
