--- /dev/null
+++ b/standin/activity.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"strconv"
+)
+
+// activityFields are the columns of pg_stat_activity that the server knows.
+var activityFields = []field{{"state", oidText}, {"wait_event", oidText}}
+
+// activityQuery returns the session that is asked about by
+// SELECT state, wait_event FROM pg_stat_activity WHERE pid = number.
+func activityQuery(st *statement) (pid uint32, ok bool) {
+	words := []string{"SELECT", "STATE", ",", "WAIT_EVENT", "FROM", "PG_STAT_ACTIVITY", "WHERE", "PID", "="}
+	if len(st.tokens) != len(words)+1 {
+		return 0, false
+	}
+	for i, word := range words {
+		if !st.tokens[i].is(word) {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseUint(st.tokens[len(words)].text, 10, 32)
+	return uint32(n), err == nil
+}
+
+// activity answers a query of pg_stat_activity. There is no row for a session
+// that has ended.
+func (s *session) activity(pid uint32, sink *rowSink) (string, *pgError) {
+	sink.start(activityFields)
+	other := s.server.session(pid)
+	if other == nil {
+		return "SELECT 0", nil
+	}
+	state := "idle"
+	if other.working() {
+		state = "active"
+	}
+	if err := sink.row([]driver.Value{state, nil}); err != nil {
+		return "", databaseError(err)
+	}
+	return "SELECT 1", nil
+}
+
+func (s *session) working() bool {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	return s.busy
+}
+
+func (s *Server) session(pid uint32) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sessions[pid]
+}
--- a/standin/execute.go
+++ b/standin/execute.go
@@ -148,6 +148,9 @@
 	if s.tx.failed {
 		return "", failedTransaction()
 	}
+	if pid, isActivity := activityQuery(st); isActivity {
+		return s.activity(pid, sink)
+	}
 	if tag, failure, done := s.utility(st, sink); done {
 		return tag, failure
 	}
