Accept a statement that is prepared again with the same definition

Ruled out: a transaction left open at the upstream (other writers went on) and the lease. Another definition under the name is refused as before. The unit test fails without the change.

--- a/caller/pgcaller/batch.go
+++ b/caller/pgcaller/batch.go
@@ -143,6 +143,12 @@
 func (c *conn) declare(b *batch, name string, st *statement) error {
 	before := c.statements[name]
 	if name != "" {
+		if before != nil && before.global == st.global {
+			// After a lost answer a caller cannot know that the statement
+			// exists, and drivers prepare it again under the same name. The
+			// same definition changes nothing.
+			return nil
+		}
 		if before != nil {
 			return &repeatedName{name: name}
 		}
--- a/caller/pgcaller/protocol_test.go
+++ b/caller/pgcaller/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"lovageslip/caller/pgcaller"
+	"lovageslip/fault"
 	"lovageslip/upstream"
 )
 
@@ -211,3 +213,35 @@
 	receiveTypes(t, frontend, []pgproto3.BackendMessage{&pgproto3.BindComplete{}, &pgproto3.DataRow{},
 		&pgproto3.CommandComplete{}, &pgproto3.CloseComplete{}, &pgproto3.ReadyForQuery{}})
 }
+
+// Guards against a caller that can never prepare a statement again: its first
+// try broke off after ParseComplete, and drivers then use the name once more.
+func TestStatementPreparedAgainAfterLostAnswer(t *testing.T) {
+	owner := &fakeOwner{}
+	h := startLocal(t, owner)
+	network, frontend := started(t, h)
+	assert.NilError(t, network.SetDeadline(time.Now().Add(10*time.Second)))
+	owner.answer = func(_ context.Context, _ string, sink upstream.Sink) (bool, error) {
+		return true, errors.Join(sink(nil), &fault.OutcomeUnknown{Reason: fault.ReasonOutcomeUnknown, Detail: "link lost"})
+	}
+	frontend.Send(&pgproto3.Parse{Name: "s", Query: "update t"})
+	frontend.Send(&pgproto3.Bind{PreparedStatement: "s"})
+	frontend.Send(&pgproto3.Execute{})
+	frontend.Send(&pgproto3.Sync{})
+	assert.NilError(t, frontend.Flush())
+	until[*pgproto3.ErrorResponse](t, frontend)
+	until[*pgproto3.ReadyForQuery](t, frontend)
+	frontend.Send(&pgproto3.Parse{Name: "s", Query: "update t"})
+	frontend.Send(&pgproto3.Sync{})
+	assert.NilError(t, frontend.Flush())
+	for {
+		message, err := frontend.Receive()
+		assert.NilError(t, err)
+		switch m := message.(type) {
+		case *pgproto3.ErrorResponse:
+			t.Fatalf("prepared again: %s %s", m.Code, m.Message)
+		case *pgproto3.ReadyForQuery:
+			return
+		}
+	}
+}
--- a/integration/writer_test.go
+++ b/integration/writer_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// troubles says what a writer was told instead of an acknowledgement.
+func (r *record) troubles() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := error(nil)
+	if len(r.failures) > 0 {
+		last = r.failures[len(r.failures)-1]
+	}
+	return fmt.Sprintf("%d not run, the last with: %v; %d of unknown outcome, the last with: %v",
+		len(r.notRun), r.refusal, len(r.failures), last)
+}
+
 func (r *record) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,7 +181,7 @@
 	want := r.count() + n
 	s.await(fmt.Sprintf("%d more acknowledged writes", n), func(context.Context) error {
 		if got := r.count(); got < want {
-			return fmt.Errorf("%d acknowledged so far", got)
+			return fmt.Errorf("%d acknowledged so far; %s", got, r.troubles())
 		}
 		return nil
 	})
