--- a/integration/writer_test.go
+++ b/integration/writer_test.go
@@ -84,13 +84,6 @@
 	return len(r.acked)
 }
 
-// givenUp lists the writes whose callers were told anything but success.
-func (r *record) givenUp() []int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Concat(slices.Collect(maps.Keys(r.notRun)), slices.Collect(maps.Keys(r.unknown)))
-}
-
 // nextID gives each write of a test its own id.
 var nextID atomic.Int64
 
