--- a/daemon/control.go
+++ b/daemon/control.go
@@ -71,7 +71,7 @@
 	daemonLog := logging.For(log, "daemon")
 	daemonLog.Info("control host started", "host", s.Name, "address", s.Hosts)
 	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, listener, s.TLSHosts, mux, daemonLog) })
+	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, listener, s.TLSHosts, mux, 0, daemonLog) })
 	tasks.Go(func(ctx context.Context) error { server.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return watchStorage(ctx, node) })
 	tasks.Go(func(ctx context.Context) error {
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
@@ -28,6 +29,10 @@
 	"lovageslip/tlsconf"
 )
 
+// answerGrace is how long the last answers to other hosts may take on their way
+// once the owner has finished its work.
+const answerGrace = 2 * time.Second
+
 // ProxyOptions are what the settings of a proxy do not say.
 type ProxyOptions struct {
 	// Callers and Hosts are open listeners; a nil one is opened on the
@@ -167,7 +172,9 @@
 	defer stop()
 	tasks := pool.New().WithContext(parts).WithCancelOnError().WithFirstError()
 	tasks.Go(func(ctx context.Context) error { p.agent.Run(ctx); return nil })
-	tasks.Go(func(ctx context.Context) error { return serveHosts(ctx, hosts, p.settings.TLSHosts, mux, p.log) })
+	tasks.Go(func(ctx context.Context) error {
+		return serveHosts(ctx, hosts, p.settings.TLSHosts, mux, answerGrace, p.log)
+	})
 	tasks.Go(func(ctx context.Context) error { return serveOps(ctx, p.settings.Metrics, metricsHandler, p.ready) })
 	tasks.Go(func(context.Context) error { return p.serveCallers(callers) })
 	tasks.Go(func(parts context.Context) error {
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"lovageslip/fault"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
@@ -46,22 +47,37 @@
 }
 
 // serveHosts serves the calls of other hosts until ctx ends. Peers that are
-// refused in the handshake are logged.
-func serveHosts(ctx context.Context, listener net.Listener, files settings.TLS, handler http.Handler, log *slog.Logger) error {
+// refused in the handshake are logged. Calls that are still being answered when
+// ctx ends have the grace to finish.
+func serveHosts(ctx context.Context, listener net.Listener, files settings.TLS, handler http.Handler, grace time.Duration, log *slog.Logger) error {
 	limited, err := tlsconf.LimitAnnouncers(files, lovageslipv1connect.ControlServiceAnnounceProcedure, handler)
 	if err != nil {
 		return err
 	}
 	server := newHostServer(limited)
 	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn)
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		endServer(server, grace)
+	})
+	err = server.Serve(listener)
+	if stop() {
 		return &fault.IO{Op: "serve hosts", Err: err}
 	}
+	<-ended
 	return nil
 }
 
+func endServer(server *http.Server, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if grace > 0 {
+		_ = server.Shutdown(ctx) // what has not finished by then is closed
+	}
+	_ = server.Close()
+}
+
 // newHostServer serves HTTP/2, and HTTP/1.1 for announcements by plain JSON
 // clients. The listener brings TLS, if any.
 func newHostServer(handler http.Handler) *http.Server {
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -142,11 +142,17 @@
 func (p *process) terminate(within time.Duration) int {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
+	return p.exitCode(within)
+}
+
+// exitCode waits for the end of the process.
+func (p *process) exitCode(within time.Duration) int {
+	p.t.Helper()
 	select {
 	case <-p.exited:
 		return p.cmd.ProcessState.ExitCode()
 	case <-time.After(within):
-		p.t.Fatalf("%s has not ended %s after SIGTERM", p.name, within)
+		p.t.Fatalf("%s has not ended within %s", p.name, within)
 		return -1
 	}
 }
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -53,7 +53,7 @@
 	assert.Assert(t, s.proxies[victim].running(), "ended with transactions open")
 	assert.NilError(t, run(ctx, inside, "INSERT INTO entries (note) VALUES ('inside')", "COMMIT"))
 	assert.NilError(t, run(ctx, other, "INSERT INTO entries (note) VALUES ('other')", "COMMIT"))
-	assert.Equal(t, s.proxies[victim].terminate(setUpTimeout), 0, "exit code")
+	assert.Equal(t, s.proxies[victim].exitCode(setUpTimeout), 0, "exit code")
 	for i, r := range writers {
 		if i/3 != victim {
 			s.awaitMore(r, 20)
