--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,10 @@
 # Needs buf, protoc-gen-go and protoc-gen-connect-go; the output is committed.
 generate:
 	buf generate
+
+# Prints the measured inputs of docs/CAPACITY.md.
+.PHONY: capacity
+capacity:
+	go test ./integration -run '^$$' -bench 'ControlCost|ChangeOfPrimary' -benchtime=1x -timeout 30m
+	go test ./control ./consensus ./exchange ./wal -run '^$$' -bench . -benchtime=200x -timeout 30m
+	go test ./caller/pgcaller -run Memory -v -count=1
