Read the status and the batch in one place; remove an unused method

The ledger and the plain write path had the same ten lines that read the status query and the batch between enterBatch and leaveBatch. Owner.Hints had no caller: hints travel with answers.

--- a/owner/health.go
+++ b/owner/health.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"lovageslip/exchange"
 	"lovageslip/upstream"
 )
 
@@ -40,16 +39,6 @@
 	return reports
 }
 
-// Hints returns a hint for each owned upstream, in no particular order.
-func (o *Owner) Hints() []exchange.Hint {
-	units := o.owned()
-	hints := make([]exchange.Hint, 0, len(units))
-	for _, u := range units {
-		hints = append(hints, u.hint())
-	}
-	return hints
-}
-
 func (o *Owner) owned() []*unit {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/upstream/pgupstream/ledger.go
+++ b/upstream/pgupstream/ledger.go
@@ -227,12 +227,7 @@
 		return upstream.Result{}, err
 	}
 	a := c.newAnswer(r, sink, holdAll)
-	c.enterBatch()
-	before, err := c.statusBefore()
-	if err == nil {
-		err = a.read()
-	}
-	c.leaveBatch()
+	before, err := c.readStatusAndBatch(a)
 	if err != nil {
 		return upstream.Result{}, err
 	}
--- a/upstream/pgupstream/run.go
+++ b/upstream/pgupstream/run.go
@@ -226,14 +226,21 @@
 	return c.readWrite(c.newAnswer(r, sink, holdFromAck))
 }
 
-// readWrite reads the answers to [status query] [batch] [status query].
-func (c *Conn) readWrite(a *answer) (upstream.Result, error) {
+// readStatusAndBatch reads the answers to [status query] [batch]. The batch may
+// be cancelled while its answer is awaited.
+func (c *Conn) readStatusAndBatch(a *answer) (*upstream.Status, error) {
 	c.enterBatch()
+	defer c.leaveBatch()
 	before, err := c.statusBefore()
-	if err == nil {
-		err = a.read()
+	if err != nil {
+		return nil, err
 	}
-	c.leaveBatch()
+	return before, a.read()
+}
+
+// readWrite reads the answers to [status query] [batch] [status query].
+func (c *Conn) readWrite(a *answer) (upstream.Result, error) {
+	before, err := c.readStatusAndBatch(a)
 	if err != nil {
 		return upstream.Result{}, err
 	}
