Measure leases of the control log on a clock that counts suspensions

Cause: a suspended machine's monotonic clock stands still, so a leader that wakes up took its old lease for valid and could answer a read with an old state. CLOCK_BOOTTIME counts the suspension. The time of day was ruled out, because it may be set. Two tests of the package read the same clock now; their conditions are unchanged.

--- a/consensus/append.go
+++ b/consensus/append.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
@@ -60,7 +60,7 @@
 	if term > n.term || n.role != roleFollower || n.leader != leader {
 		n.followTermLocked(term, leader)
 	}
-	n.heardAt = time.Now()
+	n.heardAt = bootclock.Now()
 	n.resetElectionLocked()
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
@@ -21,7 +22,7 @@
 
 func (n *Node) startTimersLocked() {
 	// Before the restart this host may have answered a leader's heartbeat.
-	n.heardAt = time.Now()
+	n.heardAt = bootclock.Now()
 	n.resetElectionLocked()
 	if n.formingLocked() {
 		n.heardAt = time.Time{}
@@ -69,7 +70,7 @@
 	if n.role == roleLeader {
 		return n.leaseValidLocked()
 	}
-	return time.Since(n.heardAt) < electionTimeoutMin
+	return bootclock.Since(n.heardAt) < electionTimeoutMin
 }
 
 // runElections campaigns when no leader is heard, and makes a leader step down
--- a/consensus/failover_test.go
+++ b/consensus/failover_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovageslip/bootclock"
 	"lovageslip/fault"
 )
 
@@ -90,7 +91,7 @@
 	waitFor(t, "the lonely host to give up its leader", func() bool {
 		away.node.mu.Lock()
 		defer away.node.mu.Unlock()
-		return time.Since(away.node.heardAt) > 2*electionTimeoutMax
+		return bootclock.Since(away.node.heardAt) > 2*electionTimeoutMax
 	})
 	c.isolate(away, false)
 	leader.propose(5)
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lovageslip/bootclock"
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
@@ -62,7 +63,7 @@
 	n.role = roleLeader
 	n.leader = n.options.Name
 	n.lead = &leadership{
-		since:   time.Now(),
+		since:   bootclock.Now(),
 		peers:   make(map[string]*peer),
 		waiters: make(map[uint64]*waiter),
 	}
@@ -220,7 +221,7 @@
 // quorumContactLocked returns the latest time at which a quorum of voters
 // still took this host for the leader.
 func (n *Node) quorumContactLocked() time.Time {
-	now := time.Now()
+	now := bootclock.Now()
 	var contacts []time.Time
 	for _, m := range voters(n.members) {
 		switch p := n.lead.peers[m.Name]; {
@@ -237,7 +238,7 @@
 }
 
 func (n *Node) leaseValidLocked() bool {
-	return n.role == roleLeader && time.Since(n.quorumContactLocked()) < leaseDuration
+	return n.role == roleLeader && bootclock.Since(n.quorumContactLocked()) < leaseDuration
 }
 
 // stepDownIfAloneLocked ends a leadership without a quorum, so that followers
@@ -247,7 +248,7 @@
 	if n.lead.since.After(contact) {
 		contact = n.lead.since
 	}
-	if n.lead.barrier == 0 || time.Since(contact) < electionTimeoutMax {
+	if n.lead.barrier == 0 || bootclock.Since(contact) < electionTimeoutMax {
 		return
 	}
 	n.metrics.Counter("leases_lost_total").Inc(1)
@@ -294,7 +295,7 @@
 
 // leaderLocked returns the leader, or nil if none was heard lately.
 func (n *Node) leaderLocked() *pb.Member {
-	if n.role != roleLeader && time.Since(n.heardAt) > electionTimeoutMax {
+	if n.role != roleLeader && bootclock.Since(n.heardAt) > electionTimeoutMax {
 		return nil
 	}
 	return findMember(n.members, n.leader)
--- a/consensus/members.go
+++ b/consensus/members.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
@@ -68,7 +68,7 @@
 		if m.Voter || p == nil || p.match+promoteLag < n.commit || p.match == 0 {
 			continue
 		}
-		if p.incarnation != m.Incarnation || time.Since(p.ackedAt) > leaseDuration {
+		if p.incarnation != m.Incarnation || bootclock.Since(p.ackedAt) > leaseDuration {
 			continue
 		}
 		if n.changeAllowedLocked(m.Name) != nil {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
@@ -32,7 +33,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, heartbeatTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := bootclock.Now()
 	response, err := p.client.AppendEntries(ctx, connect.NewRequest(request))
 	if err != nil {
 		n.metrics.Counter("heartbeats_failed_total").Inc(1)
@@ -108,7 +109,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, appendTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := bootclock.Now()
 	response, err := p.client.AppendEntries(ctx, connect.NewRequest(request))
 	if err != nil {
 		n.metrics.Counter("appends_failed_total").Inc(1)
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 )
 
@@ -29,7 +29,7 @@
 		for _, h := range c.hosts {
 			waitFor(t, "the entry in memory", func() bool { return h.node.Status().Last > before.Last })
 		}
-		held := time.Now()
+		held := bootclock.Now()
 		waitFor(t, "later heartbeats", func() bool {
 			leader.mu.Lock()
 			defer leader.mu.Unlock()
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lovageslip/bootclock"
 )
 
 // Status is what operators and metrics see of a node.
@@ -85,7 +87,7 @@
 	p := n.lead.peers[m.Name]
 	s.Match = p.match
 	if !p.ackedAt.IsZero() {
-		s.Silent = time.Since(p.ackedAt)
+		s.Silent = bootclock.Since(p.ackedAt)
 	}
 	s.WrongIncarnation = p.incarnation != "" && p.incarnation != m.Incarnation && !n.formingLocked()
 	return s
