--- /dev/null
+++ b/cmd/lovageslip-site/main.go
@@ -0,0 +1,49 @@
+// Command lovageslip-site runs a host of a site on the users' platform.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"lovageslip/logging"
+	"lovageslip/platform"
+)
+
+type command struct {
+	Proxy   proxyCommand   `cmd:"" help:"Serve callers."`
+	Control controlCommand `cmd:"" help:"Keep the site's configuration and change primaries."`
+	Check   checkCommand   `cmd:"" help:"Check the settings file and exit."`
+}
+
+type proxyCommand struct{}
+
+func (proxyCommand) Run(log *slog.Logger) error {
+	return platform.RunProxy(context.Background(), log)
+}
+
+type controlCommand struct{}
+
+func (controlCommand) Run(log *slog.Logger) error {
+	return platform.RunControl(context.Background(), log)
+}
+
+type checkCommand struct{}
+
+func (checkCommand) Run(log *slog.Logger) error {
+	_, err := platform.LoadSettings()
+	return err
+}
+
+func main() {
+	log := logging.New(os.Stdout, slog.LevelInfo, logging.FormatJSON)
+	parsed := kong.Parse(&command{}, kong.Name("lovageslip-site"),
+		kong.Description("Run a host of a site. LOVAGESLIP_SETTINGS names its settings file."),
+		kong.Bind(log), kong.UsageOnError())
+	if err := parsed.Run(); err != nil {
+		log.Error("process failed", "error", err)
+		os.Exit(1)
+	}
+}
--- a/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
@@ -37,6 +37,8 @@
 	SiteServiceWatchProcedure = "/lovageslip.v1.SiteService/Watch"
 	// SiteServiceAnnounceProcedure is the fully-qualified name of the SiteService's Announce RPC.
 	SiteServiceAnnounceProcedure = "/lovageslip.v1.SiteService/Announce"
+	// SiteServiceReportProcedure is the fully-qualified name of the SiteService's Report RPC.
+	SiteServiceReportProcedure = "/lovageslip.v1.SiteService/Report"
 )
 
 // SiteServiceClient is a client for the lovageslip.v1.SiteService service.
@@ -45,6 +47,8 @@
 	Watch(context.Context, *connect.Request[v1.WatchSiteRequest]) (*connect.ServerStreamForClient[v1.SiteUpdate], error)
 	// Announce passes an upstream's announcement to the leader.
 	Announce(context.Context, *connect.Request[v1.AnnounceUpstreamRequest]) (*connect.Response[v1.AnnounceUpstreamResponse], error)
+	// Report tells which upstreams cannot be reached, and by how many proxies.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewSiteServiceClient constructs a client for the lovageslip.v1.SiteService service. By default,
@@ -70,6 +74,12 @@
 			connect.WithSchema(siteServiceMethods.ByName("Announce")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[v1.ReportRequest, v1.ReportResponse](
+			httpClient,
+			baseURL+SiteServiceReportProcedure,
+			connect.WithSchema(siteServiceMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +87,7 @@
 type siteServiceClient struct {
 	watch    *connect.Client[v1.WatchSiteRequest, v1.SiteUpdate]
 	announce *connect.Client[v1.AnnounceUpstreamRequest, v1.AnnounceUpstreamResponse]
+	report   *connect.Client[v1.ReportRequest, v1.ReportResponse]
 }
 
 // Watch calls lovageslip.v1.SiteService.Watch.
@@ -89,12 +100,19 @@
 	return c.announce.CallUnary(ctx, req)
 }
 
+// Report calls lovageslip.v1.SiteService.Report.
+func (c *siteServiceClient) Report(ctx context.Context, req *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // SiteServiceHandler is an implementation of the lovageslip.v1.SiteService service.
 type SiteServiceHandler interface {
 	// Watch sends the state at once and after each change.
 	Watch(context.Context, *connect.Request[v1.WatchSiteRequest], *connect.ServerStream[v1.SiteUpdate]) error
 	// Announce passes an upstream's announcement to the leader.
 	Announce(context.Context, *connect.Request[v1.AnnounceUpstreamRequest]) (*connect.Response[v1.AnnounceUpstreamResponse], error)
+	// Report tells which upstreams cannot be reached, and by how many proxies.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewSiteServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -116,12 +134,20 @@
 		connect.WithSchema(siteServiceMethods.ByName("Announce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siteServiceReportHandler := connect.NewUnaryHandler(
+		SiteServiceReportProcedure,
+		svc.Report,
+		connect.WithSchema(siteServiceMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovageslip.v1.SiteService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SiteServiceWatchProcedure:
 			siteServiceWatchHandler.ServeHTTP(w, r)
 		case SiteServiceAnnounceProcedure:
 			siteServiceAnnounceHandler.ServeHTTP(w, r)
+		case SiteServiceReportProcedure:
+			siteServiceReportHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +164,7 @@
 func (UnimplementedSiteServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceUpstreamRequest]) (*connect.Response[v1.AnnounceUpstreamResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Announce is not implemented"))
 }
+
+func (UnimplementedSiteServiceHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Report is not implemented"))
+}
--- /dev/null
+++ b/proxy/choose.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"time"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+)
+
+// primaryPenalty multiplies the expected wait at a primary for reads that a
+// replica can serve, because writes can go nowhere else.
+const primaryPenalty = 1.5
+
+// remotePenalty is added to the expected wait at an upstream in another data
+// centre: its answers cross links that are shared and charged.
+const remotePenalty = 10 * time.Millisecond
+
+// candidate is an upstream that may serve a read.
+type candidate struct {
+	upstream *pb.SiteUpstream
+	pool     *pool
+	primary  bool
+}
+
+// chooseForRead returns the upstream with the least expected wait. An upstream
+// that is leaving, has just failed or lacks data is chosen only if excluded
+// leaves no other; excluded ones are never chosen.
+func (p *Proxy) chooseForRead(g *site.GroupView, excluded map[string]bool) (candidate, bool) {
+	var best candidate
+	var bestWait time.Duration
+	for _, u := range g.Upstreams {
+		if excluded[u.Id] {
+			continue
+		}
+		pl, ok := p.pool(u)
+		if !ok {
+			continue
+		}
+		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
+		wait := p.expectedWait(c)
+		if best.pool == nil || wait < bestWait {
+			best, bestWait = c, wait
+		}
+	}
+	return best, best.pool != nil
+}
+
+// lastResort is added for each reason against an upstream; it outweighs any
+// expected wait.
+const lastResort = 10 * time.Second
+
+func (p *Proxy) expectedWait(c candidate) time.Duration {
+	e := c.pool.estimate()
+	wait := e.wait
+	if c.primary {
+		wait = time.Duration(float64(wait) * primaryPenalty)
+	}
+	if c.upstream.DataCentre != p.o.DataCentre {
+		wait += remotePenalty
+	}
+	if c.upstream.Leaving {
+		wait += 2 * lastResort
+	}
+	if e.backsOff {
+		wait += 2 * lastResort
+	}
+	if e.behind && !c.primary {
+		wait += lastResort
+	}
+	return wait
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/site"
+	"lovageslip/upstream"
+)
+
+const (
+	// reservedConnections of an upstream are kept for the control hosts.
+	reservedConnections = 4
+	// sampleInterval is how old the newest sample of a group may get while
+	// reads need one. With a round trip between regions it stays well
+	// below the ages that operators ask for.
+	sampleInterval = 500 * time.Millisecond
+	sampleTick     = 100 * time.Millisecond
+	sampleTimeout  = 400 * time.Millisecond
+	// samplesWanted is how long after a read the samples are kept fresh.
+	samplesWanted = 5 * time.Second
+	// complainAfter is how long an upstream only fails before the proxy
+	// reports it.
+	complainAfter = 150 * time.Millisecond
+)
+
+// Options configure a Proxy.
+type Options struct {
+	DataCentre string
+	Dialer     Dialer
+	Log        *slog.Logger
+	Metrics    tally.Scope
+}
+
+// Proxy serves sessions on the upstreams of a view. It is safe for concurrent
+// use.
+type Proxy struct {
+	o       Options
+	log     *slog.Logger
+	metrics tally.Scope
+	view    atomic.Pointer[site.View]
+	// sampling lets one sample of a group be taken at a time.
+	sampling singleflight.Group
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	pools  map[poolKey]*pool
+	groups map[string]*group
+}
+
+// poolKey names one process of an upstream.
+type poolKey struct {
+	id, address string
+	bornMs      int64
+}
+
+// group is what the proxy has learned about one group.
+type group struct {
+	positions positions
+	// wantedAt is when a read last needed a sample, in Unix nanoseconds of
+	// the boot clock.
+	wantedAt atomic.Int64
+}
+
+// New returns a proxy with an empty view.
+func New(o Options) *Proxy {
+	p := &Proxy{
+		o:       o,
+		log:     logging.For(o.Log, "proxy"),
+		metrics: metrics.OrNoop(o.Metrics).SubScope("proxy"),
+		pools:   make(map[poolKey]*pool),
+		groups:  make(map[string]*group),
+	}
+	p.view.Store(site.NewView(site.ViewParts{}))
+	return p
+}
+
+// View returns the view in force.
+func (p *Proxy) View() *site.View { return p.view.Load() }
+
+// SetView puts a newer view in force. Open transactions keep their upstream.
+func (p *Proxy) SetView(v *site.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := make(map[poolKey]bool)
+	for _, g := range v.Groups() {
+		limit := connectionLimit(g.MaxConnections, v.Proxies)
+		for _, u := range g.Upstreams {
+			key := keyOf(u)
+			wanted[key] = true
+			if existing, ok := p.pools[key]; ok {
+				existing.update(u, limit)
+				continue
+			}
+			p.pools[key] = newPool(p.o.Dialer, u, limit)
+		}
+	}
+	for key, old := range p.pools {
+		if !wanted[key] {
+			old.close()
+			delete(p.pools, key)
+		}
+	}
+	p.view.Store(v)
+}
+
+// connectionLimit divides the connections of an upstream among the proxies.
+func connectionLimit(connections, proxies int) int {
+	return max((connections-reservedConnections)/max(proxies, 1), 1)
+}
+
+func keyOf(u *pb.SiteUpstream) poolKey {
+	return poolKey{id: u.Id, address: u.Address, bornMs: u.BornMs}
+}
+
+func (p *Proxy) pool(u *pb.SiteUpstream) (*pool, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, ok := p.pools[keyOf(u)]
+	return found, ok
+}
+
+func (p *Proxy) group(name string) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.groups[name]
+	if !ok {
+		g = &group{}
+		p.groups[name] = g
+	}
+	return g
+}
+
+// primaryPool returns the pool of a group's primary.
+func (p *Proxy) primaryPool(name string) (*pool, *pb.SiteUpstream, bool) {
+	g, ok := p.View().Group(name)
+	if !ok {
+		return nil, nil, false
+	}
+	u := g.Upstream(g.Primary)
+	if u == nil {
+		return nil, nil, false
+	}
+	found, ok := p.pool(u)
+	return found, u, ok
+}
+
+// Run keeps samples fresh until ctx ends.
+func (p *Proxy) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	ticker := time.NewTicker(sampleTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, g := range p.View().Groups() {
+			if p.sampleDue(g.Name) {
+				tasks.Go(func() { p.sample(ctx, g.Name) })
+			}
+		}
+		p.closeIdle()
+	}
+}
+
+func (p *Proxy) sampleDue(name string) bool {
+	g := p.group(name)
+	if g.positions.newestAge() < sampleInterval {
+		return false
+	}
+	return wanted(g)
+}
+
+// sample waits for a sample that was asked for after the call began, or for
+// one that is being taken already.
+func (p *Proxy) sample(ctx context.Context, name string) {
+	_, _, _ = p.sampling.Do(name, func() (any, error) {
+		p.takeSample(ctx, name)
+		return nil, nil
+	})
+}
+
+// takeSample asks a group's primary for its position. Opening a transaction
+// needs no slot and proves that it leads.
+func (p *Proxy) takeSample(ctx context.Context, name string) {
+	g := p.group(name)
+	pl, _, ok := p.primaryPool(name)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	defer cancel()
+	c, err := pl.acquire(ctx)
+	if err != nil {
+		p.metrics.Counter("samples_failed_total").Inc(1)
+		return
+	}
+	askedAt := now()
+	answers, err := c.Exchange(time.Now().Add(sampleTimeout), Command{Kind: CommandBegin}, Command{Kind: CommandRollback})
+	if err != nil {
+		p.metrics.Counter("samples_failed_total").Inc(1)
+		pl.discard(c)
+		return
+	}
+	pl.succeeded(0)
+	if answers[0].Code == CodeNone {
+		g.positions.add(answers[0].Position, askedAt)
+	}
+	p.finish(c, answers[len(answers)-1])
+}
+
+// finish returns a connection after its last answer, if it is in no
+// transaction.
+func (p *Proxy) finish(c *conn, last Answer) {
+	if last.State == StateIdle {
+		c.pool.release(c)
+		return
+	}
+	c.pool.drop(c)
+}
+
+func (p *Proxy) closeIdle() {
+	p.mu.Lock()
+	pools := make([]*pool, 0, len(p.pools))
+	for _, pl := range p.pools {
+		pools = append(pools, pl)
+	}
+	p.mu.Unlock()
+	for _, pl := range pools {
+		pl.closeIdle()
+	}
+}
+
+// Unreachable lists the primaries that this proxy cannot reach.
+func (p *Proxy) Unreachable() []string {
+	var ids []string
+	for _, g := range p.View().Groups() {
+		pl, u, ok := p.primaryPool(g.Name)
+		if ok && pl.unreachableFor() > complainAfter {
+			ids = append(ids, u.Id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// beyond returns the later of two positions.
+func beyond(a, b upstream.Position) upstream.Position {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/proxy/read.go
@@ -0,0 +1,185 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// readPlan is what one read has met so far.
+type readPlan struct {
+	excluded map[string]bool
+	reruns   int
+}
+
+func (s *Session) runRead(ctx context.Context, w work, route *pb.SiteRoute) Reply {
+	plan := &readPlan{excluded: map[string]bool{}}
+	return s.repeat(ctx, w.statement, func() attempt {
+		if !mayBeOld(route) {
+			return s.readLatest(ctx, w, route, plan)
+		}
+		return s.readAged(ctx, w, route, plan)
+	})
+}
+
+// mayBeOld reports whether a replica may serve the reads of a route.
+func mayBeOld(route *pb.SiteRoute) bool {
+	return route.Freshness == pb.Freshness_FRESHNESS_BOUNDED || route.Freshness == pb.Freshness_FRESHNESS_OWN_WRITES
+}
+
+// target is where a read that may be old can go.
+type target struct {
+	candidate
+	// after is what a replica must hold; unused at the primary.
+	after upstream.Position
+}
+
+// chooseTarget picks the upstream for a read or a read-only transaction. It
+// returns a reason if there is none now.
+func (s *Session) chooseTarget(ctx context.Context, route *pb.SiteRoute, plan *readPlan) (target, *attempt) {
+	view, ok := s.proxy.View().Group(route.Group)
+	if !ok || len(view.Upstreams) == 0 {
+		a := retry(fault.ReasonNoUpstream, jitter(noPrimaryPause))
+		return target{}, &a
+	}
+	floor, known := s.floor(ctx, route)
+	c, ok := s.proxy.chooseForRead(view, plan.excluded)
+	if !known {
+		// Only the primary can prove that its data are fresh enough.
+		c, ok = s.primaryCandidate(route.Group)
+	}
+	if !ok {
+		clear(plan.excluded)
+		a := retry(reasonNoSample, jitter(busyPause))
+		return target{}, &a
+	}
+	return target{candidate: c, after: floor}, nil
+}
+
+func (s *Session) primaryCandidate(group string) (candidate, bool) {
+	pl, u, ok := s.proxy.primaryPool(group)
+	return candidate{upstream: u, pool: pl, primary: true}, ok
+}
+
+// floor returns the position that an upstream must hold for the route.
+func (s *Session) floor(ctx context.Context, route *pb.SiteRoute) (upstream.Position, bool) {
+	g := s.proxy.group(route.Group)
+	g.want()
+	floor, ok := g.positions.floor(age(route))
+	if !ok {
+		s.proxy.sample(ctx, route.Group)
+		floor, ok = g.positions.floor(age(route))
+	}
+	if route.Freshness == pb.Freshness_FRESHNESS_OWN_WRITES {
+		floor = beyond(floor, s.written)
+	}
+	return floor, ok
+}
+
+func (s *Session) readAged(ctx context.Context, w work, route *pb.SiteRoute, plan *readPlan) attempt {
+	t, failed := s.chooseTarget(ctx, route, plan)
+	if failed != nil {
+		return *failed
+	}
+	if t.primary {
+		return s.readLatest(ctx, w, route, plan)
+	}
+	acquireCtx, cancel := context.WithTimeout(ctx, patience(t.pool, route))
+	defer cancel()
+	c, err := t.pool.acquire(acquireCtx)
+	if err != nil {
+		plan.excluded[t.upstream.Id] = true
+		return notAcquired(err)
+	}
+	command := w.forward()
+	command.After = t.after
+	startedAt := now()
+	answers, err := exchange(c, time.Now().Add(patience(t.pool, route)), s.setUp(c, w), command)
+	return s.readAnswered(c, w, plan, startedAt, answers, err, 0)
+}
+
+// readAnswered handles the answers to a read; at tells which of them is the
+// read's own. A read may run again, since it changes nothing.
+func (s *Session) readAnswered(c *conn, w work, plan *readPlan, startedAt time.Time, answers []Answer, err error, at int) attempt {
+	if err != nil {
+		c.pool.discard(c)
+		plan.excluded[c.pool.id()] = true
+		return retry(reasonConnectionLost, 0)
+	}
+	a, last := answers[at], answers[len(answers)-1]
+	c.pool.succeeded(now().Sub(startedAt))
+	switch {
+	case a.Code.NotRun():
+		plan.excluded[c.pool.id()] = true
+		return s.notRun(c, Answer{Code: a.Code, State: last.State})
+	case a.Code != CodeNone && plan.reruns < maxReruns:
+		plan.reruns++
+		plan.excluded[c.pool.id()] = true
+		s.proxy.finish(c, last)
+		return retry(reasonReadFailed, 0)
+	}
+	s.proxy.finish(c, last)
+	s.proxy.served(w.statement, s.database, c, now().Sub(startedAt), a.Position)
+	return answered(a)
+}
+
+// readLatest reads at the primary inside a transaction of the proxy's own: an
+// upstream that has lost the lead refuses the read there.
+func (s *Session) readLatest(ctx context.Context, w work, route *pb.SiteRoute, plan *readPlan) attempt {
+	c, failed := s.openAtPrimary(ctx, w, route)
+	if failed != nil {
+		return *failed
+	}
+	startedAt := now()
+	answers, err := exchange(c, time.Now().Add(patience(c.pool, route)), nil, w.forward(), Command{Kind: CommandRollback})
+	if err == nil && answers[0].Code == CodeNone {
+		s.proxy.group(route.Group).positions.add(answers[0].Position, startedAt)
+	}
+	return s.readAnswered(c, w, plan, startedAt, answers, err, 0)
+}
+
+// openAtPrimary returns a connection on which a transaction at the leading
+// primary is open. The transaction is opened before anything else is sent,
+// because behind a refused one a statement would run outside of it.
+func (s *Session) openAtPrimary(ctx context.Context, w work, route *pb.SiteRoute) (*conn, *attempt) {
+	pl, _, ok := s.proxy.primaryPool(route.Group)
+	if !ok {
+		a := retry(reasonNoPrimary, jitter(noPrimaryPause))
+		return nil, &a
+	}
+	return s.openTransaction(ctx, pl, w, route, Command{Kind: CommandBegin})
+}
+
+func (s *Session) openTransaction(ctx context.Context, pl *pool, w work, route *pb.SiteRoute, begin Command) (*conn, *attempt) {
+	ctx, cancel := context.WithTimeout(ctx, timeout(route))
+	defer cancel()
+	c, err := pl.acquire(ctx)
+	if err != nil {
+		a := notAcquired(err)
+		return nil, &a
+	}
+	askedAt := now()
+	answers, err := exchange(c, time.Now().Add(openPatience), s.setUp(c, w), begin)
+	if err != nil {
+		pl.discard(c)
+		// Nothing that takes effect has been sent.
+		a := retry(reasonConnectionLost, 0)
+		return nil, &a
+	}
+	pl.succeeded(0)
+	if answers[0].Code != CodeNone {
+		a := s.notRun(c, answers[0])
+		return nil, &a
+	}
+	if begin.Kind == CommandBegin {
+		s.proxy.group(route.Group).positions.add(answers[0].Position, askedAt)
+	}
+	return c, nil
+}
+
+// openPatience is how long an upstream is given to open a transaction, which
+// needs no slot. It covers a lost packet that is sent again.
+const openPatience = 500 * time.Millisecond
--- /dev/null
+++ b/site/state.go
@@ -0,0 +1,241 @@
+// Package site holds the replicated state of a site: its configuration, the
+// upstreams that announced themselves, and which upstream leads each group.
+// It knows neither the network nor the platform.
+package site
+
+import (
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// State is the state machine of the control hosts' log. It implements
+// consensus.StateMachine and is safe for concurrent use.
+type State struct {
+	// mu guards the fields below.
+	mu      sync.Mutex
+	current *pb.SiteState // never modified in place
+	index   uint64
+	changed chan struct{}
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{current: &pb.SiteState{}, changed: make(chan struct{})}
+}
+
+// Current returns the state, which the caller must not modify, the log index of
+// its last change, and a channel that is closed at the next change.
+func (s *State) Current() (state *pb.SiteState, index uint64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.index, s.changed
+}
+
+// Apply implements consensus.StateMachine. A command that cannot be decoded
+// changes nothing.
+func (s *State) Apply(index uint64, command []byte) []byte {
+	var c pb.SiteCommand
+	result := &pb.SiteCommandResult{Index: index}
+	if err := proto.Unmarshal(command, &c); err == nil {
+		result.Changed = s.apply(index, &c)
+	}
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func (s *State) apply(index uint64, c *pb.SiteCommand) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := &pb.SiteState{
+		Config:    s.current.Config,
+		Document:  s.current.Document,
+		Upstreams: slices.Clone(s.current.Upstreams),
+		Groups:    slices.Clone(s.current.Groups),
+		Proxies:   s.current.Proxies,
+	}
+	if !applyCommand(next, index, c) {
+		return false
+	}
+	s.replaceLocked(next, index)
+	return true
+}
+
+func (s *State) replaceLocked(next *pb.SiteState, index uint64) {
+	s.current, s.index = next, index
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func applyCommand(state *pb.SiteState, index uint64, c *pb.SiteCommand) bool {
+	switch c := c.Command.(type) {
+	case *pb.SiteCommand_StoreConfig:
+		return storeConfig(state, c.StoreConfig)
+	case *pb.SiteCommand_RecordUpstream:
+		return recordUpstream(state, c.RecordUpstream)
+	case *pb.SiteCommand_RemoveUpstream:
+		return removeUpstream(state, c.RemoveUpstream)
+	case *pb.SiteCommand_OrderPrimary:
+		return orderPrimary(state, index, c.OrderPrimary)
+	case *pb.SiteCommand_RecordPrimary:
+		return recordPrimary(state, c.RecordPrimary)
+	case *pb.SiteCommand_RecordProxies:
+		changed := state.Proxies != c.RecordProxies.Proxies
+		state.Proxies = c.RecordProxies.Proxies
+		return changed
+	default:
+		return false
+	}
+}
+
+// storeConfig keeps the configuration with the highest version.
+func storeConfig(state *pb.SiteState, c *pb.StoreConfig) bool {
+	if c.GetConfig() == nil || (state.Config != nil && c.Config.Version <= state.Config.Version) {
+		return false
+	}
+	state.Config, state.Document = c.Config, c.Document
+	return true
+}
+
+// Supersedes reports whether an announcement is newer than a record of the
+// same upstream. Announcements of one process are ordered by their sequence.
+func Supersedes(u, record *pb.SiteUpstream) bool {
+	if u.BornMs != record.BornMs {
+		return u.BornMs > record.BornMs
+	}
+	return u.Sequence > record.Sequence
+}
+
+func recordUpstream(state *pb.SiteState, u *pb.SiteUpstream) bool {
+	if u == nil || !evictAddress(state, u) {
+		return false
+	}
+	at := slices.IndexFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == u.Id })
+	if at < 0 {
+		state.Upstreams = append(state.Upstreams, u)
+		return true
+	}
+	if !Supersedes(u, state.Upstreams[at]) {
+		return false
+	}
+	state.Upstreams[at] = u
+	return true
+}
+
+// evictAddress removes older processes that had the address of u. It reports
+// false if the address belongs to a younger process, so that u is gone.
+func evictAddress(state *pb.SiteState, u *pb.SiteUpstream) bool {
+	for _, r := range slices.Clone(state.Upstreams) {
+		if r.Address != u.Address || r.Id == u.Id {
+			continue
+		}
+		if r.BornMs > u.BornMs {
+			return false
+		}
+		removeUpstream(state, &pb.RemoveSiteUpstream{Id: r.Id, BornMs: r.BornMs})
+	}
+	return true
+}
+
+func removeUpstream(state *pb.SiteState, c *pb.RemoveSiteUpstream) bool {
+	before := len(state.Upstreams)
+	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(r *pb.SiteUpstream) bool {
+		return r.Id == c.Id && r.BornMs == c.BornMs
+	})
+	return len(state.Upstreams) != before
+}
+
+// editGroup replaces the record of a group by a copy that edit may change.
+func editGroup(state *pb.SiteState, group string, edit func(*pb.SiteGroupState)) {
+	at := slices.IndexFunc(state.Groups, func(g *pb.SiteGroupState) bool { return g.Group == group })
+	if at < 0 {
+		at = len(state.Groups)
+		state.Groups = append(state.Groups, &pb.SiteGroupState{Group: group})
+	}
+	copied := proto.Clone(state.Groups[at]).(*pb.SiteGroupState)
+	edit(copied)
+	state.Groups[at] = copied
+}
+
+// orderPrimary logs an order before it is given, so that its token, the index
+// of the entry, rises with each order whoever leads.
+func orderPrimary(state *pb.SiteState, index uint64, c *pb.OrderPrimary) bool {
+	if Group(state, c.Group).GetOrder() != c.PreviousOrder {
+		return false
+	}
+	editGroup(state, c.Group, func(g *pb.SiteGroupState) {
+		g.Order, g.Ordered, g.OrderOpen = index, c.Upstream, true
+	})
+	return true
+}
+
+func recordPrimary(state *pb.SiteState, c *pb.RecordPrimary) bool {
+	g := Group(state, c.Group)
+	if g.GetPrimary() == c.Upstream && !(g.GetOrderOpen() && g.GetOrdered() == c.Upstream) {
+		return false
+	}
+	editGroup(state, c.Group, func(g *pb.SiteGroupState) {
+		g.Primary = c.Upstream
+		if g.Ordered == c.Upstream {
+			g.OrderOpen = false
+		}
+	})
+	return true
+}
+
+// Group returns the record of a group, or nil if there is none.
+func Group(state *pb.SiteState, group string) *pb.SiteGroupState {
+	for _, g := range state.Groups {
+		if g.Group == group {
+			return g
+		}
+	}
+	return nil
+}
+
+// Upstream returns the record of an upstream, or nil if there is none.
+func Upstream(state *pb.SiteState, id string) *pb.SiteUpstream {
+	for _, u := range state.Upstreams {
+		if u.Id == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// Snapshot implements consensus.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	state, index := s.current, s.index
+	s.mu.Unlock()
+	return proto.Marshal(&pb.SiteSnapshot{State: state, Index: index})
+}
+
+// Restore implements consensus.StateMachine.
+func (s *State) Restore(data []byte) error {
+	var snapshot pb.SiteSnapshot
+	if err := proto.Unmarshal(data, &snapshot); err != nil {
+		return &BadSnapshot{Err: err}
+	}
+	state := snapshot.State
+	if state == nil {
+		state = &pb.SiteState{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replaceLocked(state, snapshot.Index)
+	return nil
+}
+
+// BadSnapshot reports a snapshot that cannot be decoded.
+type BadSnapshot struct{ Err error }
+
+func (e *BadSnapshot) Error() string { return "site: snapshot cannot be decoded: " + e.Err.Error() }
+
+func (e *BadSnapshot) Unwrap() error { return e.Err }
--- /dev/null
+++ b/site/view.go
@@ -0,0 +1,118 @@
+package site
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// View is what a proxy knows of the site. It is immutable.
+type View struct {
+	// Index is the log index up to which the view is complete.
+	Index uint64
+	// ConfigVersion is 0 before the first configuration.
+	ConfigVersion uint64
+	// TransactionIdle is how long a transaction may rest; 0 for no limit.
+	TransactionIdle time.Duration
+	// Proxies is how many proxies share the upstreams, at least 1.
+	Proxies int
+	// ControlHosts are the internal addresses of the control hosts.
+	ControlHosts []string
+
+	routes map[string]*pb.SiteRoute
+	groups map[string]*GroupView
+}
+
+// GroupView is one group in a view.
+type GroupView struct {
+	Name           string
+	MaxConnections int
+	// Primary is the id of the primary, or empty.
+	Primary string
+	// Upstreams are sorted by id.
+	Upstreams []*pb.SiteUpstream
+}
+
+// Route returns the route of a database. With several prefixes, the shortest
+// one counts, because database names carry no path.
+func (v *View) Route(database string) (*pb.SiteRoute, bool) {
+	r, ok := v.routes[database]
+	return r, ok
+}
+
+// Group returns a group by name.
+func (v *View) Group(name string) (*GroupView, bool) {
+	g, ok := v.groups[name]
+	return g, ok
+}
+
+// Groups returns all groups, sorted by name.
+func (v *View) Groups() []*GroupView {
+	groups := make([]*GroupView, 0, len(v.groups))
+	for _, g := range v.groups {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b *GroupView) int { return cmp.Compare(a.Name, b.Name) })
+	return groups
+}
+
+// Upstream returns an upstream of the group, or nil.
+func (g *GroupView) Upstream(id string) *pb.SiteUpstream {
+	for _, u := range g.Upstreams {
+		if u.Id == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// ViewParts are the parts of a view; each may come from another update.
+type ViewParts struct {
+	Index        uint64
+	Config       *pb.SiteConfig
+	Upstreams    []*pb.SiteUpstream
+	Groups       []*pb.SiteGroupState
+	ControlHosts []string
+	Proxies      int
+}
+
+// NewView builds a view. The parts must not be modified afterwards.
+func NewView(p ViewParts) *View {
+	v := &View{
+		Index:           p.Index,
+		ConfigVersion:   p.Config.GetVersion(),
+		TransactionIdle: time.Duration(p.Config.GetTransactionIdleMs()) * time.Millisecond,
+		Proxies:         max(p.Proxies, 1),
+		ControlHosts:    p.ControlHosts,
+		routes:          make(map[string]*pb.SiteRoute),
+		groups:          make(map[string]*GroupView),
+	}
+	for _, r := range p.Config.GetRoutes() {
+		if other, ok := v.routes[r.Database]; !ok || len(r.Prefix) < len(other.Prefix) {
+			v.routes[r.Database] = r
+		}
+	}
+	for _, g := range p.Config.GetGroups() {
+		v.groups[g.Name] = &GroupView{Name: g.Name, MaxConnections: int(g.MaxConnections)}
+	}
+	v.addUpstreams(p)
+	return v
+}
+
+func (v *View) addUpstreams(p ViewParts) {
+	for _, u := range p.Upstreams {
+		if g, ok := v.groups[u.Group]; ok {
+			g.Upstreams = append(g.Upstreams, u)
+		}
+	}
+	for _, g := range v.groups {
+		slices.SortFunc(g.Upstreams, func(a, b *pb.SiteUpstream) int { return cmp.Compare(a.Id, b.Id) })
+	}
+	for _, s := range p.Groups {
+		if g, ok := v.groups[s.Group]; ok {
+			g.Primary = s.Primary
+		}
+	}
+}
--- /dev/null
+++ b/sitecontrol/announce.go
@@ -0,0 +1,133 @@
+package sitecontrol
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"lovageslip/consensus"
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+)
+
+// announceTimeout bounds one announcement; its sender waits for a second.
+const announceTimeout = 900 * time.Millisecond
+
+// AnnounceUpstream records an announcement with the leader. It returns nil
+// once all that the announcement changes is committed.
+func (s *Server) AnnounceUpstream(ctx context.Context, u *pb.SiteUpstream) error {
+	return s.announce(ctx, u, false)
+}
+
+func (s *Server) announce(ctx context.Context, u *pb.SiteUpstream, ended bool) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if _, leads := s.o.Consensus.Leadership(); leads {
+		return s.handleAnnouncement(ctx, u, ended)
+	}
+	_, address, ok := s.o.Consensus.Leader()
+	if !ok || address == s.o.Address {
+		return noLeader()
+	}
+	request := &pb.AnnounceUpstreamRequest{Upstream: u, Ended: ended}
+	if _, err := s.client(address).Announce(ctx, connect.NewRequest(request)); err != nil {
+		return &fault.IO{Op: "pass announcement to the leader", Err: err}
+	}
+	return nil
+}
+
+func noLeader() error {
+	return &fault.NotRun{Reason: consensus.ReasonNoLeader, Detail: "no leader is known"}
+}
+
+// Announce implements SiteService.
+func (s *Server) Announce(ctx context.Context, r *connect.Request[pb.AnnounceUpstreamRequest]) (*connect.Response[pb.AnnounceUpstreamResponse], error) {
+	if _, leads := s.o.Consensus.Leadership(); !leads {
+		return nil, unavailable(noLeader())
+	}
+	if err := s.handleAnnouncement(ctx, r.Msg.Upstream, r.Msg.Ended); err != nil {
+		return nil, unavailable(err)
+	}
+	return connect.NewResponse(&pb.AnnounceUpstreamResponse{}), nil
+}
+
+func (s *Server) handleAnnouncement(ctx context.Context, u *pb.SiteUpstream, ended bool) error {
+	if ended {
+		return s.handleEnd(ctx, u.Id)
+	}
+	state, _, _ := s.o.State.Current()
+	record := site.Upstream(state, u.Id)
+	if !s.noteAnnouncement(u, record) {
+		s.log.Debug("announcement is late and changes nothing", "upstream", u.Id, "sequence", u.Sequence)
+		return nil
+	}
+	if record != nil && sameUpstream(u, record) {
+		return nil
+	}
+	if err := s.recordUpstream(ctx, u); err != nil {
+		s.forget(u)
+		return err
+	}
+	s.log.Info("upstream recorded", "upstream", u.Id, "group", u.Group, "address", u.Address,
+		"leaving", u.Leaving, "primary", u.Primary, "born_ms", u.BornMs, "sequence", u.Sequence)
+	return nil
+}
+
+func (s *Server) recordUpstream(ctx context.Context, u *pb.SiteUpstream) error {
+	_, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordUpstream{RecordUpstream: u}})
+	return err
+}
+
+// noteAnnouncement reports whether the announcement is newer than all that
+// this host and the log have of the upstream.
+func (s *Server) noteAnnouncement(u, record *pb.SiteUpstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.seen[u.Id]
+	if ok && !site.Supersedes(u, last.upstream) {
+		return false
+	}
+	if record != nil && !site.Supersedes(u, record) {
+		return false
+	}
+	s.seen[u.Id] = announcement{upstream: u, at: now()}
+	return true
+}
+
+// forget lets the same announcement be sent again after it was not recorded.
+func (s *Server) forget(u *pb.SiteUpstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen[u.Id].upstream == u {
+		delete(s.seen, u.Id)
+	}
+}
+
+// sameUpstream compares all but the sequence, which changes each time.
+func sameUpstream(a, b *pb.SiteUpstream) bool {
+	copied := proto.Clone(a).(*pb.SiteUpstream)
+	copied.Sequence = b.Sequence
+	return proto.Equal(copied, b)
+}
+
+func (s *Server) handleEnd(ctx context.Context, id string) error {
+	state, _, _ := s.o.State.Current()
+	record := site.Upstream(state, id)
+	if record == nil {
+		return nil
+	}
+	command := &pb.RemoveSiteUpstream{Id: id, BornMs: record.BornMs}
+	_, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RemoveUpstream{RemoveUpstream: command}})
+	if err == nil {
+		s.log.Info("upstream removed at its own request", "upstream", id, "group", record.Group)
+	}
+	return err
+}
+
+// EndUpstream removes an upstream that ends by itself.
+func (s *Server) EndUpstream(ctx context.Context, id string) error {
+	return s.announce(ctx, &pb.SiteUpstream{Id: id}, true)
+}
--- /dev/null
+++ b/sitecontrol/lead.go
@@ -0,0 +1,102 @@
+package sitecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+const (
+	leadInterval = 50 * time.Millisecond
+	// proxiesSettle is how long the count of proxies must be lower before
+	// it is recorded, so that a restart of a proxy changes nothing.
+	proxiesSettle = 10 * time.Second
+)
+
+// Run does the host's part until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.runJoin(ctx) })
+	group.Go(func() { s.runRelay(ctx) })
+	group.Go(func() { s.runLeadership(ctx) })
+}
+
+// runLeadership runs the duties of each term in which this host leads.
+func (s *Server) runLeadership(ctx context.Context) {
+	for sleep(ctx, leadInterval) {
+		if term, leads := s.o.Consensus.Leadership(); leads {
+			s.lead(ctx, term)
+		}
+	}
+}
+
+func (s *Server) lead(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	s.log.Info("leading the control hosts", "term", term)
+	s.startSeen()
+	group.Go(func() { s.runMembership(ctx) })
+	group.Go(func() { s.runGroups(ctx) })
+	group.Go(func() { s.runProxyCount(ctx) })
+	for sleep(ctx, leadInterval) {
+		// A lapsed lease ends the duties only if it isn't renewed: each of
+		// them checks the lease by logging what it does.
+		if s.o.Consensus.Status().Term != term {
+			break
+		}
+		if _, _, known := s.o.Consensus.Leader(); !known {
+			break
+		}
+	}
+	s.log.Info("no longer leading the control hosts", "term", term)
+}
+
+// startSeen gives each upstream the benefit of the doubt at the start of a
+// term.
+func (s *Server) startSeen() {
+	state, _, _ := s.o.State.Current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range state.Upstreams {
+		last, ok := s.seen[u.Id]
+		if !ok {
+			last.upstream = u
+		}
+		last.at = now()
+		s.seen[u.Id] = last
+	}
+}
+
+func (s *Server) runMembership(ctx context.Context) {
+	for sleep(ctx, membershipInterval) {
+		s.keepMembership(ctx)
+	}
+}
+
+// runProxyCount records how many proxies share the upstreams. A higher count
+// counts at once, since the upstreams' connections would run out.
+func (s *Server) runProxyCount(ctx context.Context) {
+	lowerSince := now()
+	for sleep(ctx, time.Second) {
+		state, _, _ := s.o.State.Current()
+		count := s.gatherReports(true).Proxies
+		if count >= state.Proxies {
+			lowerSince = now()
+		}
+		if count <= state.Proxies && now().Sub(lowerSince) < proxiesSettle {
+			continue
+		}
+		if count == 0 || count == state.Proxies {
+			continue
+		}
+		command := &pb.RecordProxies{Proxies: count}
+		_, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordProxies{RecordProxies: command}})
+		s.log.Info("count of proxies recorded", "proxies", count, "error", err)
+	}
+}
--- /dev/null
+++ b/sitecontrol/primary.go
@@ -0,0 +1,303 @@
+package sitecontrol
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+	"lovageslip/upstream"
+)
+
+const (
+	groupInterval = 100 * time.Millisecond
+	// probeInterval is how often the status of a primary is asked for while
+	// nothing points to a failure. A probe takes one of its slots.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	// primaryLostAfter is how long a primary answers neither this host nor
+	// most proxies before it is replaced. It covers a lost packet that is
+	// sent again and a round trip between regions.
+	primaryLostAfter = 700 * time.Millisecond
+	// announcedWithin is how long after its last announcement a primary
+	// that few proxies miss is taken to be only cut off from this host.
+	announcedWithin = 3 * time.Second
+	promoteTimeout  = 1500 * time.Millisecond
+	// promoteRetry is the pause before an order without an answer is given
+	// again.
+	promoteRetry = 500 * time.Millisecond
+	// orderLifetime is how long an order may take before another upstream
+	// is named. The platform may carry it out seconds later.
+	orderLifetime = 2500 * time.Millisecond
+)
+
+// groupWatch watches the primary of one group for one leader.
+type groupWatch struct {
+	s     *Server
+	group string
+	// probedAt is when the last probe began, lostSince when the first of a
+	// series of failed probes did.
+	probedAt  time.Time
+	lostSince time.Time
+	orderedAt time.Time
+	givenAt   time.Time
+}
+
+func (s *Server) runGroups(ctx context.Context) {
+	watches := make(map[string]*groupWatch)
+	for sleep(ctx, groupInterval) {
+		state, _, _ := s.o.State.Current()
+		var group conc.WaitGroup
+		for _, g := range state.Config.GetGroups() {
+			w, ok := watches[g.Name]
+			if !ok {
+				w = &groupWatch{s: s, group: g.Name}
+				watches[g.Name] = w
+			}
+			group.Go(func() { w.step(ctx) })
+		}
+		group.Wait()
+	}
+}
+
+// upstreams returns the group's upstreams in the present state.
+func (w *groupWatch) upstreams() (primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState) {
+	state, _, _ := w.s.o.State.Current()
+	g = site.Group(state, w.group)
+	for _, u := range state.Upstreams {
+		switch {
+		case u.Group != w.group:
+		case u.Id == g.GetPrimary():
+			primary = u
+		default:
+			others = append(others, u)
+		}
+	}
+	return primary, others, g
+}
+
+func (w *groupWatch) step(ctx context.Context) {
+	primary, others, g := w.upstreams()
+	if w.adoptAnnounced(ctx, primary, others) {
+		return
+	}
+	switch {
+	case g.GetOrderOpen():
+		w.pursueOrder(ctx, g, others)
+	case primary == nil:
+		w.findPrimary(ctx, others, g)
+	case primary.Leaving:
+		w.replace(ctx, primary, others, g, "primary is leaving")
+	default:
+		w.probePrimary(ctx, primary, others, g)
+	}
+}
+
+// adoptAnnounced takes over a primary that announces itself while the recorded
+// one is gone or announces that it is a replica.
+func (w *groupWatch) adoptAnnounced(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream) bool {
+	if primary != nil && primary.Primary {
+		return false
+	}
+	for _, u := range others {
+		if u.Primary {
+			return w.record(ctx, u, "announced itself")
+		}
+	}
+	return false
+}
+
+func (w *groupWatch) record(ctx context.Context, u *pb.SiteUpstream, reason string) bool {
+	command := &pb.RecordPrimary{Group: w.group, Upstream: u.Id}
+	_, err := w.s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordPrimary{RecordPrimary: command}})
+	w.s.log.Info("primary recorded", "group", w.group, "upstream", u.Id, "reason", reason, "error", err)
+	w.lostSince = time.Time{}
+	return err == nil
+}
+
+// probePrimary replaces a primary that is lost.
+func (w *groupWatch) probePrimary(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState) {
+	unreachable, proxies := w.s.complaints(primary.Id)
+	if unreachable == 0 && w.lostSince.IsZero() && now().Sub(w.probedAt) < probeInterval {
+		return
+	}
+	w.probedAt = now()
+	status, err := w.probe(ctx, primary)
+	var busy *BusyUpstream
+	if err == nil && status.Role != upstream.RolePrimary {
+		w.findPrimary(ctx, append(others, primary), g)
+		return
+	}
+	if err == nil || errors.As(err, &busy) {
+		w.lostSince = time.Time{}
+		return
+	}
+	if w.lostSince.IsZero() {
+		w.lostSince = w.probedAt
+		w.s.log.Warn("primary does not answer", "group", w.group, "upstream", primary.Id, "error", err,
+			"proxies_missing_it", unreachable, "proxies", proxies)
+	}
+	if w.isLost(primary, unreachable, proxies) {
+		w.replace(ctx, primary, others, g, "primary is lost")
+	}
+}
+
+// isLost decides from three views: this host's probes, the proxies, and the
+// primary's own announcements.
+func (w *groupWatch) isLost(primary *pb.SiteUpstream, unreachable, proxies uint32) bool {
+	silent := now().Sub(w.lostSince)
+	if silent < primaryLostAfter {
+		return false
+	}
+	if 2*unreachable >= proxies && unreachable > 0 {
+		return true
+	}
+	w.s.mu.Lock()
+	announcedAt := w.s.seen[primary.Id].at
+	w.s.mu.Unlock()
+	// No proxy may have anything to send to it.
+	return proxies == 0 && now().Sub(announcedAt) > announcedWithin
+}
+
+func (w *groupWatch) probe(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return w.s.o.Prober.Status(ctx, u)
+}
+
+// probed is the answer of one upstream.
+type probed struct {
+	upstream *pb.SiteUpstream
+	status   UpstreamStatus
+	err      error
+}
+
+func (w *groupWatch) probeAll(ctx context.Context, upstreams []*pb.SiteUpstream) []probed {
+	var group conc.WaitGroup
+	var mu sync.Mutex
+	var answers []probed
+	for _, u := range upstreams {
+		group.Go(func() {
+			status, err := w.probe(ctx, u)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, probed{u, status, err})
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// findPrimary records the upstream that leads in the newest term; if none
+// does, it names one.
+func (w *groupWatch) findPrimary(ctx context.Context, upstreams []*pb.SiteUpstream, g *pb.SiteGroupState) {
+	var leader *probed
+	for _, p := range w.probeAll(ctx, upstreams) {
+		if p.err != nil || p.status.Role != upstream.RolePrimary {
+			continue
+		}
+		if leader == nil || leader.status.Received.Before(p.status.Received) {
+			leader = &p
+		}
+	}
+	if leader != nil {
+		w.record(ctx, leader.upstream, "its status says so")
+		return
+	}
+	if w.lostSince.IsZero() {
+		w.lostSince = now()
+	}
+	if len(upstreams) > 1 && now().Sub(w.lostSince) > primaryLostAfter {
+		w.replace(ctx, nil, upstreams, g, "no upstream leads")
+	}
+}
+
+// replace orders the promotion of the replica that has received most. An
+// upstream that is leaving is named only if there is no other.
+func (w *groupWatch) replace(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState, reason string) {
+	if now().Sub(w.orderedAt) < promoteRetry {
+		return
+	}
+	best := mostAdvanced(w.probeAll(ctx, others))
+	if best == nil {
+		w.s.log.Warn("no replica can take over", "group", w.group, "reason", reason)
+		return
+	}
+	command := &pb.OrderPrimary{Group: w.group, Upstream: best.upstream.Id, PreviousOrder: g.GetOrder()}
+	result, err := w.s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{OrderPrimary: command}})
+	w.s.log.Info("change of primary ordered", "group", w.group, "from", primary.GetId(), "to", best.upstream.Id,
+		"reason", reason, "position", best.status.Received, "token", result.GetIndex(), "error", err)
+	if err != nil || !result.Changed {
+		return
+	}
+	w.orderedAt = now()
+	w.give(ctx, best.upstream.Id, result.Index)
+}
+
+func mostAdvanced(answers []probed) *probed {
+	var best *probed
+	for _, p := range answers {
+		var busy *BusyUpstream
+		if p.err != nil && !errors.As(p.err, &busy) {
+			continue
+		}
+		if best == nil || better(p, *best) {
+			best = &p
+		}
+	}
+	return best
+}
+
+// better prefers an upstream that stays, then one whose position is known and
+// later.
+func better(p, q probed) bool {
+	if p.upstream.Leaving != q.upstream.Leaving {
+		return q.upstream.Leaving
+	}
+	return q.status.Received.Before(p.status.Received)
+}
+
+// give sends an order to the platform. An answer that it was carried out is
+// confirmed by the upstream itself.
+func (w *groupWatch) give(ctx context.Context, id string, token uint64) {
+	w.givenAt = now()
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := w.s.o.Promoter.Promote(ctx, w.group, id, w.s.o.Name, token)
+	w.s.metrics.Counter("promotions_ordered_total").Inc(1)
+	w.s.log.Info("order given", "group", w.group, "upstream", id, "token", token, "error", err)
+	var refused *PromotionRefused
+	if errors.As(err, &refused) {
+		// Another token has overtaken this one, or the upstream is down.
+		w.orderedAt = now().Add(-orderLifetime)
+	}
+}
+
+// pursueOrder follows an order until an upstream leads or the order has taken
+// too long. Giving it again is safe: the token lets it take effect once.
+func (w *groupWatch) pursueOrder(ctx context.Context, g *pb.SiteGroupState, others []*pb.SiteUpstream) {
+	if w.orderedAt.IsZero() {
+		w.orderedAt = now()
+	}
+	state, _, _ := w.s.o.State.Current()
+	ordered := site.Upstream(state, g.Ordered)
+	if ordered != nil {
+		status, err := w.probe(ctx, ordered)
+		if err == nil && status.Role == upstream.RolePrimary {
+			w.record(ctx, ordered, "promoted")
+			return
+		}
+	}
+	if now().Sub(w.orderedAt) >= orderLifetime || ordered == nil {
+		primary, others, g := w.upstreams()
+		w.replace(ctx, primary, others, g, "previous order was not carried out")
+		return
+	}
+	if now().Sub(w.givenAt) >= promoteRetry {
+		w.give(ctx, g.Ordered, g.Order)
+	}
+}
--- /dev/null
+++ b/sitecontrol/report.go
@@ -0,0 +1,111 @@
+package sitecontrol
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+const (
+	// ReportInterval is how often a reporter without news reports.
+	ReportInterval = 2 * time.Second
+	// reportLifetime is how long a report counts.
+	reportLifetime = 3 * ReportInterval
+	// complaintLifetime is how long a complaint counts; those who complain
+	// repeat it twice in that time.
+	complaintLifetime = 700 * time.Millisecond
+	// ComplaintInterval is how often a complaint is repeated.
+	ComplaintInterval = 300 * time.Millisecond
+	// relayInterval is how often a control host passes on what changed.
+	relayInterval = 100 * time.Millisecond
+	reportTimeout = 600 * time.Millisecond
+)
+
+// Report implements SiteService.
+func (s *Server) Report(_ context.Context, r *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[r.Msg.Reporter] = report{message: r.Msg, at: now()}
+	return connect.NewResponse(&pb.ReportResponse{}), nil
+}
+
+// gatherReports adds up the reports that still count: those of proxies and,
+// for a leader, those that other control hosts relay.
+func (s *Server) gatherReports(relayed bool) *pb.ReportRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := &pb.ReportRequest{Reporter: s.o.Name, Relayed: true}
+	complaints := make(map[string]uint32)
+	for name, r := range s.reports {
+		age := now().Sub(r.at)
+		if age > reportLifetime {
+			delete(s.reports, name)
+			continue
+		}
+		if r.message.Relayed && !relayed {
+			continue
+		}
+		sum.Proxies += r.message.Proxies
+		for _, c := range r.message.Complaints {
+			if age <= complaintLifetime {
+				complaints[c.Upstream] += c.Proxies
+			}
+		}
+	}
+	for id, n := range complaints {
+		sum.Complaints = append(sum.Complaints, &pb.Complaint{Upstream: id, Proxies: n})
+	}
+	slices.SortFunc(sum.Complaints, func(a, b *pb.Complaint) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return sum
+}
+
+// complaints returns how many proxies cannot reach an upstream, and how many
+// there are.
+func (s *Server) complaints(id string) (unreachable, proxies uint32) {
+	sum := s.gatherReports(true)
+	for _, c := range sum.Complaints {
+		if c.Upstream == id {
+			return c.Proxies, sum.Proxies
+		}
+	}
+	return 0, sum.Proxies
+}
+
+// runRelay passes the sum of the reports on to the leader.
+func (s *Server) runRelay(ctx context.Context) {
+	var last *pb.ReportRequest
+	var sentAt time.Time
+	for sleep(ctx, relayInterval) {
+		_, address, ok := s.o.Consensus.Leader()
+		if !ok || address == s.o.Address {
+			last = nil
+			continue
+		}
+		sum := s.gatherReports(false)
+		if proto.Equal(sum, last) && now().Sub(sentAt) < s.relayPause(sum) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err := s.client(address).Report(callCtx, connect.NewRequest(sum))
+		cancel()
+		if err != nil {
+			s.metrics.Counter("report_relays_failed_total").Inc(1)
+			last = nil
+			continue
+		}
+		last, sentAt = sum, now()
+	}
+}
+
+func (s *Server) relayPause(sum *pb.ReportRequest) time.Duration {
+	if len(sum.Complaints) > 0 {
+		return ComplaintInterval
+	}
+	return ReportInterval
+}
--- /dev/null
+++ b/sitecontrol/watch.go
@@ -0,0 +1,115 @@
+package sitecontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+const (
+	// watchInterval bounds how often one proxy is sent the state, so that a
+	// series of changes costs one update.
+	watchInterval = 100 * time.Millisecond
+	// KeepAliveInterval is how often a control host that hears from the
+	// leader sends an update, changed or not.
+	KeepAliveInterval = 700 * time.Millisecond
+)
+
+// watcher is one Watch stream.
+type watcher struct {
+	config  *pb.SiteConfig
+	state   *pb.SiteState
+	members []string
+}
+
+// Watch implements SiteService. The stream ends when this host hears from no
+// leader, so that the proxy turns to another control host.
+func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchSiteRequest], stream *connect.ServerStream[pb.SiteUpdate]) error {
+	w := &watcher{}
+	s.mu.Lock()
+	s.watchers[w] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.watchers, w)
+		s.mu.Unlock()
+	}()
+	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
+	// What is sent first includes all that was committed before the call.
+	if _, err := s.o.Consensus.ReadIndex(ctx); err != nil {
+		return unavailable(err)
+	}
+	for {
+		if _, _, ok := s.o.Consensus.Leader(); !ok {
+			return unavailable(noLeader())
+		}
+		state, index, changed := s.o.State.Current()
+		if err := stream.Send(w.update(state, index, s.memberAddresses())); err != nil {
+			return err
+		}
+		if !waitForChange(ctx, changed) {
+			return nil
+		}
+	}
+}
+
+func waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	if !sleep(ctx, watchInterval) {
+		return false
+	}
+	timer := time.NewTimer(KeepAliveInterval - watchInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// update returns what has changed since the previous update.
+func (w *watcher) update(state *pb.SiteState, index uint64, members []string) *pb.SiteUpdate {
+	u := &pb.SiteUpdate{Index: index}
+	if state.Config != w.config {
+		u.Config = state.Config
+		w.config = state.Config
+	}
+	if w.state == nil || w.topologyChanged(state) || !slices.Equal(w.members, members) {
+		u.Topology = true
+		u.Upstreams, u.Groups = state.Upstreams, state.Groups
+		u.ControlHosts, u.Proxies = members, state.Proxies
+	}
+	w.state, w.members = state, members
+	return u
+}
+
+func (w *watcher) topologyChanged(state *pb.SiteState) bool {
+	return w.state.Proxies != state.Proxies ||
+		!slices.Equal(w.state.Upstreams, state.Upstreams) ||
+		!slices.Equal(w.state.Groups, state.Groups)
+}
+
+func (s *Server) memberAddresses() []string {
+	var addresses []string
+	for _, m := range s.o.Consensus.Members() {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/sitewatch/sitewatch.go
@@ -0,0 +1,271 @@
+// Package sitewatch keeps a proxy's view of the site up to date. It watches one
+// control host at a time, the nearest that answers, and reports upstreams that
+// the proxy cannot reach.
+package sitewatch
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/bootclock"
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/site"
+	"lovageslip/sitecontrol"
+)
+
+const (
+	// silenceLimit is how long a control host may send nothing before the
+	// watch turns to another one.
+	silenceLimit = 2*sitecontrol.KeepAliveInterval + 200*time.Millisecond
+	// probeTimeout bounds the search for a control host that answers.
+	probeTimeout  = 700 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+	reportTick    = 50 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+)
+
+// Options configure a Watch.
+type Options struct {
+	// Name is the proxy's name in reports and logs.
+	Name       string
+	DataCentre string
+	// Seeds returns internal addresses of control hosts that may be running.
+	Seeds      func() []string
+	HTTPClient *http.Client
+	// OnView is called with each newer view, from one goroutine.
+	OnView func(*site.View)
+	// Unreachable lists the upstreams that the proxy cannot reach.
+	Unreachable func() []string
+	Log         *slog.Logger
+	Metrics     tally.Scope
+}
+
+// Watch is safe for concurrent use.
+type Watch struct {
+	o       Options
+	log     *slog.Logger
+	metrics tally.Scope
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	parts   site.ViewParts
+	current string // address of the control host that is watched
+	heardAt time.Time
+}
+
+// New returns a watch; Run must be called.
+func New(o Options) *Watch {
+	return &Watch{
+		o:       o,
+		log:     logging.For(o.Log, "watch"),
+		metrics: metrics.OrNoop(o.Metrics).SubScope("watch"),
+	}
+}
+
+// Run watches until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { w.runReports(ctx) })
+	failed := ""
+	for ctx.Err() == nil {
+		address, ok := w.nearest(ctx, failed)
+		if !ok {
+			failed = ""
+			sleep(ctx, retryPause)
+			continue
+		}
+		err := w.watch(ctx, address)
+		w.log.Warn("control host lost", "address", address, "index", w.index(), "error", err)
+		w.metrics.Counter("control_hosts_lost_total").Inc(1)
+		failed = address
+		sleep(ctx, retryPause/4)
+	}
+}
+
+func (w *Watch) index() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.parts.Index
+}
+
+// SinceHeard returns the time since a control host last sent an update.
+func (w *Watch) SinceHeard() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return bootclock.Since(w.heardAt)
+}
+
+func (w *Watch) candidates() []string {
+	w.mu.Lock()
+	addresses := slices.Concat(w.parts.ControlHosts, w.o.Seeds())
+	w.mu.Unlock()
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// nearest returns the control host that accepts a connection first, other than
+// the one that has just failed.
+func (w *Watch) nearest(ctx context.Context, failed string) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	candidates := w.candidates()
+	answers := make(chan string, len(candidates))
+	for _, address := range candidates {
+		tasks.Go(func() { answers <- reach(ctx, address, address == failed) })
+	}
+	for range candidates {
+		if address := <-answers; address != "" {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// reach returns the address if it accepts a connection; the one that has just
+// failed only if no other does.
+func reach(ctx context.Context, address string, failed bool) string {
+	if failed && !sleep(ctx, probeTimeout/2) {
+		return ""
+	}
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ""
+	}
+	// Nothing was sent on it.
+	_ = c.Close()
+	return address
+}
+
+// watch follows one control host until it fails or falls silent.
+func (w *Watch) watch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	client := sitecontrol.NewClient(w.o.HTTPClient, address)
+	request := connect.NewRequest(&pb.WatchSiteRequest{Proxy: w.o.Name, DataCentre: w.o.DataCentre})
+	stream, err := client.Watch(ctx, request)
+	if err != nil {
+		return &fault.IO{Op: "watch", Err: err}
+	}
+	defer stream.Close()
+	first := true
+	for stream.Receive() {
+		silence.Reset(silenceLimit)
+		if first {
+			w.log.Info("watching a control host", "address", address)
+			first = false
+		}
+		if !w.take(address, stream.Msg()) {
+			return &OldState{Address: address}
+		}
+	}
+	return &fault.IO{Op: "watch", Err: stream.Err()}
+}
+
+// OldState reports a control host whose state is older than the proxy's.
+type OldState struct{ Address string }
+
+func (e *OldState) Error() string { return "control host " + e.Address + " has an older state" }
+
+// take applies an update. It reports false if this proxy has seen a newer
+// state; the updates that follow build on the old one and are of no use.
+func (w *Watch) take(address string, u *pb.SiteUpdate) bool {
+	w.mu.Lock()
+	w.current, w.heardAt = address, bootclock.Now()
+	if u.Index < w.parts.Index {
+		w.mu.Unlock()
+		return false
+	}
+	changed := u.Config != nil || u.Topology
+	w.parts.Index = u.Index
+	if u.Config != nil {
+		w.parts.Config = u.Config
+	}
+	if u.Topology {
+		w.parts.Upstreams, w.parts.Groups = u.Upstreams, u.Groups
+		w.parts.ControlHosts, w.parts.Proxies = u.ControlHosts, int(u.Proxies)
+	}
+	parts := w.parts
+	w.mu.Unlock()
+	if !changed {
+		return true
+	}
+	w.log.Info("view taken over", "index", parts.Index, "config", parts.Config.GetVersion(),
+		"upstreams", len(parts.Upstreams), "proxies", parts.Proxies, "from", address)
+	w.o.OnView(site.NewView(parts))
+	return true
+}
+
+// runReports tells the watched control host that this proxy runs, and what it
+// cannot reach.
+func (w *Watch) runReports(ctx context.Context) {
+	var last []string
+	var sentAt time.Time
+	for sleep(ctx, reportTick) {
+		unreachable := w.o.Unreachable()
+		pause := sitecontrol.ReportInterval
+		if len(unreachable) > 0 {
+			pause = sitecontrol.ComplaintInterval
+		}
+		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < pause {
+			continue
+		}
+		if w.report(ctx, unreachable) {
+			last, sentAt = unreachable, bootclock.Now()
+		}
+	}
+}
+
+func (w *Watch) report(ctx context.Context, unreachable []string) bool {
+	w.mu.Lock()
+	address := w.current
+	w.mu.Unlock()
+	if address == "" {
+		return false
+	}
+	request := &pb.ReportRequest{Reporter: w.o.Name, Proxies: 1}
+	for _, id := range unreachable {
+		request.Complaints = append(request.Complaints, &pb.Complaint{Upstream: id, Proxies: 1})
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := w.client(address).Report(ctx, connect.NewRequest(request)); err != nil {
+		w.metrics.Counter("reports_failed_total").Inc(1)
+		return false
+	}
+	return true
+}
+
+func (w *Watch) client(address string) lovageslipv1connect.SiteServiceClient {
+	return sitecontrol.NewClient(w.o.HTTPClient, address)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
