Keep leaving upstreams free of reads; judge a lost primary by all proxies

TestLeavingUpstreamGetsNoReadsWhileOthersBackOff failed before. Silent proxies count until the recorded number is lowered. TestSilentProxiesCountAgainstComplaints failed before.

--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	pb "lovageslip/gen/lovageslip/v1"
@@ -23,13 +24,15 @@
 }
 
 // chooseForRead returns the upstream with the least expected wait. An upstream
-// that is leaving, has just failed or lacks data is chosen only if excluded
-// leaves no other; excluded ones are never chosen.
+// that has just failed or lacks data is chosen only if excluded leaves no
+// other. An upstream that is leaving gets no read unless all are leaving: it
+// may end at any time, and others that refuse now will soon have room.
 func (p *Proxy) chooseForRead(g *site.GroupView, excluded map[string]bool) (candidate, bool) {
 	var best candidate
 	var bestWait time.Duration
+	allLeaving := !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool { return !u.Leaving })
 	for _, u := range g.Upstreams {
-		if excluded[u.Id] {
+		if excluded[u.Id] || (u.Leaving && !allLeaving) {
 			continue
 		}
 		pl, ok := p.pool(u)
@@ -58,9 +61,6 @@
 	if c.upstream.DataCentre != p.o.DataCentre {
 		wait += remotePenalty
 	}
-	if c.upstream.Leaving {
-		wait += 2 * lastResort
-	}
 	if e.backsOff {
 		wait += 2 * lastResort
 	}
--- /dev/null
+++ b/proxy/choose_test.go
@@ -0,0 +1,29 @@
+package proxy
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/site"
+)
+
+// Guards against new work for an upstream that is leaving while the others
+// back off after refusals: it reached one 7 s after the leave was acknowledged.
+func TestLeavingUpstreamGetsNoReadsWhileOthersBackOff(t *testing.T) {
+	f := newFixture(t)
+	f.parts.Upstreams[1].Leaving = true
+	f.proxy.SetView(site.NewView(f.parts))
+	view, _ := f.proxy.View().Group("g")
+	for _, u := range view.Upstreams {
+		if pl, ok := f.proxy.pool(u); ok && !u.Leaving {
+			pl.busy(backoffMax)
+		}
+	}
+	c, ok := f.proxy.chooseForRead(view, map[string]bool{})
+	assert.Assert(t, ok)
+	assert.Assert(t, !c.upstream.Leaving, c.upstream.Id)
+
+	_, ok = f.proxy.chooseForRead(view, map[string]bool{"p1": true, "r2": true})
+	assert.Assert(t, !ok, "the leaving upstream was chosen as the last one")
+}
--- /dev/null
+++ b/proxy/fake_test.go
@@ -0,0 +1,282 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+	"lovageslip/upstream"
+)
+
+// fakeGroup is a group of upstreams in memory: one log, replicas that follow
+// when told to, and failures on demand.
+type fakeGroup struct {
+	mu        sync.Mutex
+	upstreams map[string]*fakeUpstream
+	term      upstream.Term
+}
+
+type fakeUpstream struct {
+	group    *fakeGroup
+	id       string
+	primary  bool
+	term     upstream.Term
+	held     upstream.Offset
+	dead     bool
+	busy     int                   // refuses that many statements
+	loseNext bool                  // runs the next statement and loses its answer
+	failNext int                   // runs and fails that many statements
+	gate     chan struct{}         // statements wait for it if set
+	ran      []string              // ids of statements that ran
+	open     int                   // connections
+	values   []map[string]string   // session values of each read and write
+	onBegin  func(u *fakeUpstream) // called behind each BEGIN
+}
+
+type fakeConn struct {
+	u      *fakeUpstream
+	state  TransactionState
+	plain  bool
+	wrote  bool
+	values map[string]string
+	names  map[string]string
+}
+
+func (g *fakeGroup) Dial(_ context.Context, record *pb.SiteUpstream) (Conn, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.upstreams[record.Id]
+	if u == nil || u.dead {
+		return nil, &fault.IO{Op: "dial", Err: &DialRefused{Upstream: record.Id}}
+	}
+	u.open++
+	return &fakeConn{u: u, state: StateIdle, values: map[string]string{}, names: map[string]string{}}, nil
+}
+
+func (c *fakeConn) Alive() bool {
+	c.u.group.mu.Lock()
+	defer c.u.group.mu.Unlock()
+	return !c.u.dead
+}
+
+func (c *fakeConn) Close() error {
+	c.u.group.mu.Lock()
+	defer c.u.group.mu.Unlock()
+	c.u.open--
+	return nil
+}
+
+func (c *fakeConn) Exchange(deadline time.Time, commands ...Command) ([]Answer, error) {
+	var answers []Answer
+	for _, command := range commands {
+		if gate := c.gate(); gate != nil && command.Kind == CommandForward {
+			select {
+			case <-gate:
+			case <-time.After(time.Until(deadline)):
+				return nil, &fault.IO{Op: "read", Err: context.DeadlineExceeded}
+			}
+		}
+		a, lost := c.run(command)
+		if lost {
+			return nil, &fault.IO{Op: "read", Err: context.DeadlineExceeded}
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (c *fakeConn) gate() chan struct{} {
+	c.u.group.mu.Lock()
+	defer c.u.group.mu.Unlock()
+	return c.u.gate
+}
+
+func (c *fakeConn) run(command Command) (Answer, bool) {
+	u := c.u
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	if u.dead {
+		return Answer{}, true
+	}
+	code := c.apply(command)
+	lost := code == CodeNone && command.Kind == CommandForward && u.loseNext
+	if lost {
+		u.loseNext = false
+	}
+	a := Answer{Code: code, State: c.state, Position: upstream.Position{Term: u.term, Offset: u.held}}
+	a.Body = []byte("COMPLETE " + u.id)
+	return a, lost
+}
+
+func (c *fakeConn) apply(command Command) Code {
+	u := c.u
+	zero := upstream.Position{}
+	held := upstream.Position{Term: u.term, Offset: u.held}
+	switch command.Kind {
+	case CommandBegin:
+		if !u.primary {
+			return CodeReadOnly
+		}
+		c.state, c.plain, c.wrote = StateOpen, true, false
+		if u.onBegin != nil {
+			u.onBegin(u)
+		}
+	case CommandBeginRead:
+		if command.After != zero && held.Before(command.After) {
+			return CodeLagging
+		}
+		c.state, c.plain = StateOpen, false
+	case CommandRollback:
+		c.state = StateIdle
+	case CommandReset:
+		clear(c.values)
+		clear(c.names)
+	case CommandSet:
+		c.values[command.Name] = command.Value
+	case CommandPrepare:
+		c.names[command.Name] = command.Value
+	case CommandForward:
+		return c.forward(command, held)
+	}
+	return CodeNone
+}
+
+func (c *fakeConn) forward(command Command, held upstream.Position) Code {
+	u, st := c.u, command.Statement
+	switch {
+	case u.busy > 0:
+		u.busy--
+		return CodeBusy
+	case command.After != (upstream.Position{}) && held.Before(command.After):
+		return CodeLagging
+	case c.state == StateOpen && c.plain && !u.primary && st.Kind != KindCommit:
+		c.state = StateFailed
+		return CodeReadOnly
+	case st.Kind == KindWrite && !u.primary:
+		return CodeReadOnly
+	case st.Kind == KindExecute && c.names[command.Name] == "":
+		return CodeNoStatement
+	}
+	u.ran = append(u.ran, st.ID)
+	values := map[string]string{}
+	for name, value := range c.values {
+		values[name] = value
+	}
+	u.values = append(u.values, values)
+	if u.failNext > 0 {
+		u.failNext--
+		return CodeFailed
+	}
+	c.effect(st)
+	return CodeNone
+}
+
+func (c *fakeConn) effect(st *Statement) {
+	switch {
+	case st.Kind == KindCommit:
+		c.state = StateIdle
+		if c.wrote {
+			c.u.held++
+		}
+	case st.Kind == KindWrite && c.state == StateOpen:
+		c.wrote = true
+	case st.Kind == KindWrite:
+		c.u.held++
+	}
+}
+
+// replicate lets all replicas catch up with the primary.
+func (g *fakeGroup) replicate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.upstreams {
+		if !p.primary {
+			continue
+		}
+		for _, u := range g.upstreams {
+			u.term, u.held = p.term, p.held
+		}
+	}
+}
+
+// promote makes an upstream lead the next term with what it holds.
+func (g *fakeGroup) promote(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term++
+	for _, u := range g.upstreams {
+		u.primary = u.id == id
+	}
+	g.upstreams[id].term = g.term
+}
+
+func (g *fakeGroup) set(id string, change func(*fakeUpstream)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g.upstreams[id])
+}
+
+func (g *fakeGroup) ran(id string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.upstreams[id].ran...)
+}
+
+// fixture is a proxy before one group of three: p1 leads, r1 and r2 follow.
+type fixture struct {
+	t     *testing.T
+	group *fakeGroup
+	proxy *Proxy
+	parts site.ViewParts
+}
+
+func newFixture(t *testing.T) *fixture {
+	g := &fakeGroup{upstreams: map[string]*fakeUpstream{}, term: 3}
+	f := &fixture{t: t, group: g}
+	f.parts.Config = &pb.SiteConfig{Version: 1, TransactionIdleMs: 3000, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: 40}}}
+	for _, route := range []struct {
+		database  string
+		freshness pb.Freshness
+	}{
+		{"latest", pb.Freshness_FRESHNESS_LATEST},
+		{"bounded", pb.Freshness_FRESHNESS_BOUNDED},
+		{"own", pb.Freshness_FRESHNESS_OWN_WRITES},
+	} {
+		f.parts.Config.Routes = append(f.parts.Config.Routes, &pb.SiteRoute{
+			Name: route.database, Database: route.database, Prefix: "/", Group: "g",
+			Freshness: route.freshness, TimeoutMs: 1000, TargetMs: 500, AgeMs: 1500,
+		})
+	}
+	for _, id := range []string{"p1", "r1", "r2"} {
+		g.upstreams[id] = &fakeUpstream{group: g, id: id, primary: id == "p1", term: 3, held: 100}
+		f.parts.Upstreams = append(f.parts.Upstreams, &pb.SiteUpstream{
+			Id: id, Group: "g", Address: id, DataCentre: "here", Slots: 4, Primary: id == "p1",
+		})
+	}
+	f.parts.Groups = []*pb.SiteGroupState{{Group: "g", Primary: "p1"}}
+	f.proxy = New(Options{DataCentre: "here", Dialer: g})
+	f.proxy.SetView(site.NewView(f.parts))
+	return f
+}
+
+// follow tells the proxy of another primary.
+func (f *fixture) follow(primary string) {
+	f.parts.Groups = []*pb.SiteGroupState{{Group: "g", Primary: primary}}
+	f.proxy.SetView(site.NewView(f.parts))
+}
+
+func (f *fixture) open(database string) *Session {
+	f.t.Helper()
+	s, refusal := f.proxy.Open(database)
+	if refusal != nil {
+		f.t.Fatalf("session on %s refused: %v", database, refusal)
+	}
+	return s
+}
+
+func read(id string) *Statement  { return &Statement{ID: id, Kind: KindRead, Text: "READ x"} }
+func write(id string) *Statement { return &Statement{ID: id, Kind: KindWrite, Text: "WRITE x y"} }
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -23,6 +23,9 @@
 	// most proxies before it is replaced. It covers a lost packet that is
 	// sent again and a round trip between regions.
 	primaryLostAfter = 700 * time.Millisecond
+	// missedAfter is how long half of the proxies must miss a primary that
+	// answers this host.
+	missedAfter = time.Second
 	// announcedWithin is how long after its last announcement a primary
 	// that few proxies miss is taken to be only cut off from this host.
 	announcedWithin = 3 * time.Second
@@ -43,8 +46,12 @@
 	// series of failed probes did.
 	probedAt  time.Time
 	lostSince time.Time
-	orderedAt time.Time
-	givenAt   time.Time
+	// missedSince is since when half of the proxies cannot reach it.
+	missedSince time.Time
+	// lastUnreachable is how many proxies missed it at the last look.
+	lastUnreachable uint32
+	orderedAt       time.Time
+	givenAt         time.Time
 }
 
 func (s *Server) runGroups(ctx context.Context) {
@@ -115,7 +122,7 @@
 	command := &pb.RecordPrimary{Group: w.group, Upstream: u.Id}
 	_, err := w.s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordPrimary{RecordPrimary: command}})
 	w.s.log.Info("primary recorded", "group", w.group, "upstream", u.Id, "reason", reason, "error", err)
-	w.lostSince = time.Time{}
+	w.lostSince, w.missedSince = time.Time{}, time.Time{}
 	return err == nil
 }
 
@@ -132,35 +139,67 @@
 		w.findPrimary(ctx, append(others, primary), g)
 		return
 	}
-	if err == nil || errors.As(err, &busy) {
+	answered := err == nil || errors.As(err, &busy)
+	if answered {
 		w.lostSince = time.Time{}
-		return
-	}
-	if w.lostSince.IsZero() {
+	} else if w.lostSince.IsZero() {
 		w.lostSince = w.probedAt
 		w.s.log.Warn("primary does not answer", "group", w.group, "upstream", primary.Id, "error", err,
 			"proxies_missing_it", unreachable, "proxies", proxies)
 	}
-	if w.isLost(primary, unreachable, proxies) {
+	if w.gather(primary, unreachable, proxies).lost() {
 		w.replace(ctx, primary, others, g, "primary is lost")
 	}
 }
 
-// isLost decides from three views: this host's probes, the proxies, and the
-// primary's own announcements.
-func (w *groupWatch) isLost(primary *pb.SiteUpstream, unreachable, proxies uint32) bool {
-	silent := now().Sub(w.lostSince)
-	if silent < primaryLostAfter {
-		return false
-	}
-	if 2*unreachable >= proxies && unreachable > 0 {
+// evidence is what is known of a primary that may be lost.
+type evidence struct {
+	// unanswered is how long this host's probes have failed.
+	unanswered time.Duration
+	// missed is how long half of the proxies or more cannot reach it.
+	missed time.Duration
+	// proxies is how many proxies there are.
+	proxies uint32
+	// announced is the time since the primary announced itself.
+	announced time.Duration
+}
+
+// lost decides from three views. Most proxies count for more than this host:
+// a primary that they cannot reach serves few, and one that they reach serves
+// although the control hosts are cut off from it.
+func (e evidence) lost() bool {
+	switch {
+	case e.missed >= missedAfter:
 		return true
+	case e.unanswered >= primaryLostAfter && e.missed > 0:
+		return true
+	default:
+		// No proxy may have anything to send to it.
+		return e.proxies == 0 && e.unanswered >= primaryLostAfter && e.announced > announcedWithin
+	}
+}
+
+func (w *groupWatch) gather(primary *pb.SiteUpstream, unreachable, proxies uint32) evidence {
+	at := now()
+	if unreachable != w.lastUnreachable {
+		w.lastUnreachable = unreachable
+		w.s.log.Info("proxies that miss the primary", "group", w.group, "upstream", primary.Id, "missing_it", unreachable, "proxies", proxies)
+	}
+	if unreachable == 0 || 2*unreachable < proxies {
+		w.missedSince = time.Time{}
+	} else if w.missedSince.IsZero() {
+		w.missedSince = at
 	}
 	w.s.mu.Lock()
-	announcedAt := w.s.seen[primary.Id].at
+	e := evidence{proxies: proxies, announced: at.Sub(w.s.seen[primary.Id].at)}
 	w.s.mu.Unlock()
-	// No proxy may have anything to send to it.
-	return proxies == 0 && now().Sub(announcedAt) > announcedWithin
+	if !w.lostSince.IsZero() {
+		e.unanswered = at.Sub(w.lostSince)
+	}
+	if !w.missedSince.IsZero() {
+		e.missed = max(at.Sub(w.missedSince), 1)
+	}
+	return e
 }
 
 func (w *groupWatch) probe(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -66,15 +66,18 @@
 }
 
 // complaints returns how many proxies cannot reach an upstream, and how many
-// there are.
+// there are. Proxies that were counted and have fallen silent are among them:
+// they may be cut off together with the upstream and still be served by it.
 func (s *Server) complaints(id string) (unreachable, proxies uint32) {
+	state, _, _ := s.o.State.Current()
 	sum := s.gatherReports(true)
+	proxies = max(sum.Proxies, state.Proxies)
 	for _, c := range sum.Complaints {
 		if c.Upstream == id {
-			return c.Proxies, sum.Proxies
+			return c.Proxies, proxies
 		}
 	}
-	return 0, sum.Proxies
+	return 0, proxies
 }
 
 // runRelay passes the sum of the reports on to the leader.
--- /dev/null
+++ b/sitecontrol/report_test.go
@@ -0,0 +1,31 @@
+package sitecontrol
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+)
+
+// Guards against the replacement of a primary that is cut off together with
+// most proxies: the few that remain all miss it, while it serves the others.
+func TestSilentProxiesCountAgainstComplaints(t *testing.T) {
+	state := site.NewState()
+	command, err := proto.Marshal(&pb.SiteCommand{Command: &pb.SiteCommand_RecordProxies{
+		RecordProxies: &pb.RecordProxies{Proxies: 18},
+	}})
+	assert.NilError(t, err)
+	state.Apply(1, command)
+	s := New(Options{Name: "c1", State: state})
+	for _, name := range []string{"a", "b", "c"} {
+		s.reports[name] = report{at: now(), message: &pb.ReportRequest{
+			Reporter: name, Proxies: 1, Complaints: []*pb.Complaint{{Upstream: "p", Proxies: 1}},
+		}}
+	}
+	unreachable, proxies := s.complaints("p")
+	assert.Equal(t, unreachable, uint32(3))
+	assert.Equal(t, proxies, uint32(18))
+}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -229,6 +229,9 @@
 		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < pause {
 			continue
 		}
+		if !slices.Equal(unreachable, last) {
+			w.log.Info("primaries that cannot be reached", "upstreams", unreachable)
+		}
 		if w.report(ctx, unreachable) {
 			last, sentAt = unreachable, bootclock.Now()
 		}
