Put statements in order at the proxy; keep upstream connections

Each pool now has an allowance that falls after refusals, and statements wait for their turn: those that can still end in time first. Tests: TestRefusedTransactionKeepsItsConnection, TestLostAnswerClosesOnlyItsConnection.

--- /dev/null
+++ b/proxy/allowance.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// allowanceStart is how many statements a proxy sends to an upstream at
+	// a time before it has learned how many the upstream takes.
+	allowanceStart = 4
+	allowanceMin   = 1
+	// allowanceCut is the share that is left after a refusal. Proxies that
+	// share an upstream get to equal shares by small steps up and large
+	// ones down.
+	allowanceCut = 0.7
+	// allowanceRest is the least time between two cuts: refusals of
+	// statements that were under way together count once. It is a round
+	// trip between regions.
+	allowanceRest = 50 * time.Millisecond
+)
+
+// allowance is how many statements a proxy may have at one upstream. The
+// upstream refuses what exceeds its queue, so many proxies that each send all
+// they have would spend their time on refusals; what waits at the proxy instead
+// can be put in order.
+type allowance struct {
+	limit float64
+	cutAt time.Time
+}
+
+func newAllowance() allowance { return allowance{limit: allowanceStart} }
+
+// allows reports whether one more statement may be sent.
+func (a *allowance) allows(inFlight int) bool { return float64(inFlight+1) <= a.limit }
+
+// succeeded raises the limit by one for each limit's worth of answers, if the
+// limit was reached.
+func (a *allowance) succeeded(inFlight int) {
+	if float64(inFlight+1) > a.limit {
+		a.limit += 1 / a.limit
+	}
+}
+
+// refused lowers the limit.
+func (a *allowance) refused(at time.Time) {
+	if at.Sub(a.cutAt) < allowanceRest {
+		return
+	}
+	a.cutAt = at
+	a.limit = max(a.limit*allowanceCut, allowanceMin)
+}
+
+// ticket says how urgent a statement is.
+type ticket struct {
+	// arrivedAt is when the caller's operation began.
+	arrivedAt time.Time
+	// target is how long the caller wants to wait for all of it.
+	target time.Duration
+}
+
+// freshShare of its target is how long an operation may have waited and still
+// be expected to end in time. The rest is for its run and, in a transaction,
+// for the statements that follow.
+const freshShare = 0.6
+
+func (t ticket) fresh(at time.Time) bool {
+	return t.target == math.MaxInt64 || float64(at.Sub(t.arrivedAt)) < freshShare*float64(t.target)
+}
+
+// nextTicket returns the index of the statement that goes next: of those that
+// can still end in time, the one that arrived first; then, of those that are
+// late, the one that arrived first. Serving late ones in their turn would make
+// all others late as well, until the backlog is gone.
+func nextTicket(tickets []ticket, at time.Time) int {
+	best := 0
+	for i := 1; i < len(tickets); i++ {
+		if more(tickets[i], tickets[best], at) {
+			best = i
+		}
+	}
+	return best
+}
+
+func more(a, b ticket, at time.Time) bool {
+	if a.fresh(at) != b.fresh(at) {
+		return a.fresh(at)
+	}
+	return a.arrivedAt.Before(b.arrivedAt)
+}
+
+// urgent is the ticket of what many statements wait for.
+func urgent() ticket { return ticket{target: math.MaxInt64} }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,17 +15,17 @@
 	// holdLimit is how long a statement waits for an upstream that can run
 	// it. A change of primary takes about 1.5 s: 0.7 s until the loss is
 	// certain and 0.6 s for the promotion.
-	holdLimit = 2500 * time.Millisecond
+	holdLimit = 3 * time.Second
 	// busyPause and noPrimaryPause are the mean pauses before another try.
 	busyPause      = 30 * time.Millisecond
 	noPrimaryPause = 50 * time.Millisecond
 	// maxReruns bounds how often a read that ran and failed runs again.
 	maxReruns = 2
 	// patienceMin is the least time that a read is given at one upstream.
-	patienceMin = 400 * time.Millisecond
+	patienceMin = 300 * time.Millisecond
 	// patienceFactor times the expected time is how long a read is given
 	// before another upstream is asked; few statements take as long.
-	patienceFactor = 10
+	patienceFactor = 8
 )
 
 // attempt is the outcome of one try of a statement.
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -33,6 +33,7 @@
 	gate     chan struct{}         // statements wait for it if set
 	ran      []string              // ids of statements that ran
 	open     int                   // connections
+	dials    int                   // connections ever opened
 	values   []map[string]string   // session values of each read and write
 	onBegin  func(u *fakeUpstream) // called behind each BEGIN
 }
@@ -54,6 +55,7 @@
 		return nil, &fault.IO{Op: "dial", Err: &DialRefused{Upstream: record.Id}}
 	}
 	u.open++
+	u.dials++
 	return &fakeConn{u: u, state: StateIdle, values: map[string]string{}, names: map[string]string{}}, nil
 }
 
@@ -119,6 +121,7 @@
 	switch command.Kind {
 	case CommandBegin:
 		if !u.primary {
+			c.state = StateFailed
 			return CodeReadOnly
 		}
 		c.state, c.plain, c.wrote = StateOpen, true, false
@@ -127,6 +130,7 @@
 		}
 	case CommandBeginRead:
 		if command.After != zero && held.Before(command.After) {
+			c.state = StateFailed
 			return CodeLagging
 		}
 		c.state, c.plain = StateOpen, false
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -39,17 +39,37 @@
 	limit    int
 	open     int
 	idle     []*conn // most recently used last
-	waiters  []chan struct{}
 	closed   bool
+	// inFlight counts the statements that are at the upstream, or about to
+	// be sent to it.
+	inFlight int
+	// dialing counts the open connections that are being opened.
+	dialing   int
+	allowance allowance
+	waiters   []*waiter
 
 	serviceTime float64 // milliseconds
 	usedAt      time.Time
+	answeredAt  time.Time
 	failures    int
 	failedSince time.Time
 	backoffTill time.Time
 	laggingTill time.Time
 }
 
+// waiter is a statement that waits for its turn.
+type waiter struct {
+	ticket  ticket
+	granted chan grant // has room for one
+}
+
+// grant is a connection that counts as in flight, or the reason why there is
+// none.
+type grant struct {
+	conn *conn
+	err  error
+}
+
 // conn is a pooled connection with the session state that it carries.
 type conn struct {
 	Conn
@@ -57,6 +77,9 @@
 	values   map[string]string
 	prepared map[string]bool
 	idleAt   time.Time
+	// counted is set while the connection counts as in flight; the pool's
+	// lock guards it.
+	counted bool
 }
 
 func newPool(dialer Dialer, u *pb.SiteUpstream, limit int) *pool {
@@ -64,6 +87,7 @@
 		dialer:      dialer,
 		upstream:    u,
 		limit:       limit,
+		allowance:   newAllowance(),
 		serviceTime: float64(firstServiceTime / time.Millisecond),
 	}
 }
@@ -72,7 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upstream, p.limit = u, limit
-	p.wakeLocked()
+	p.grantLocked()
 }
 
 func (p *pool) id() string {
@@ -81,76 +105,137 @@
 	return p.upstream.Id
 }
 
-// wakeLocked lets one waiter try again.
-func (p *pool) wakeLocked() {
-	if len(p.waiters) > 0 && (len(p.idle) > 0 || p.open < p.limit) {
-		close(p.waiters[0])
-		p.waiters = p.waiters[1:]
+// takeLocked returns an idle connection, counted as in flight, or nil.
+func (p *pool) takeLocked() *conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.Alive() {
+			p.inFlight++
+			c.counted = true
+			return c
+		}
+		p.closeLocked(c)
 	}
+	return nil
 }
 
-// acquire returns a connection, waiting for one until ctx ends. Its errors are
-// *DialRefused, *fault.IO and *Refusal; nothing has run.
-func (p *pool) acquire(ctx context.Context) (*conn, error) {
-	for {
-		c, wait, err := p.take()
-		if c != nil || err != nil {
-			return c, err
-		}
-		if wait == nil {
-			return p.dial(ctx)
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			p.abandon(wait)
-			return nil, &Refusal{Code: RefusedBusy, Reason: "no_connection"}
+// grantLocked gives free places to those who wait, the most urgent first, and
+// opens connections for the others. A connection is opened beside the
+// statements: one that gives up waiting must not waste it.
+func (p *pool) grantLocked() {
+	at := bootclock.Now()
+	for len(p.waiters) > 0 && p.allowance.allows(p.inFlight) {
+		c := p.takeLocked()
+		if c == nil {
+			break
 		}
+		p.removeNextLocked(at).granted <- grant{conn: c}
+	}
+	room := int(p.allowance.limit) - p.inFlight
+	for p.dialing < min(len(p.waiters), room) && p.open < p.limit && !p.closed {
+		p.open++
+		p.dialing++
+		go p.dial()
+	}
+}
+
+func (p *pool) removeNextLocked(at time.Time) *waiter {
+	tickets := make([]ticket, len(p.waiters))
+	for i, w := range p.waiters {
+		tickets[i] = w.ticket
 	}
+	next := nextTicket(tickets, at)
+	w := p.waiters[next]
+	p.waiters = append(p.waiters[:next], p.waiters[next+1:]...)
+	return w
 }
 
-// take returns an idle connection, a channel to wait on, or neither if the
-// caller may dial.
-func (p *pool) take() (*conn, chan struct{}, error) {
+// acquire returns a connection that counts as in flight, waiting for its turn
+// until ctx ends. Its errors are *DialRefused, *fault.IO and *Refusal; nothing
+// has run.
+func (p *pool) acquire(ctx context.Context, t ticket) (*conn, error) {
+	w := &waiter{ticket: t, granted: make(chan grant, 1)}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.closed {
-		return nil, nil, &Refusal{Code: RefusedBusy, Reason: "upstream_gone"}
+		p.mu.Unlock()
+		return nil, upstreamGone()
 	}
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.Alive() {
-			return c, nil, nil
-		}
-		p.discardLocked(c)
+	p.waiters = append(p.waiters, w)
+	p.grantLocked()
+	p.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		return g.conn, g.err
+	default:
 	}
-	if p.open < p.limit {
-		p.open++
-		return nil, nil, nil
+	select {
+	case g := <-w.granted:
+		return g.conn, g.err
+	case <-ctx.Done():
+		return p.abandon(w)
 	}
-	wait := make(chan struct{})
-	p.waiters = append(p.waiters, wait)
-	return nil, wait, nil
 }
 
-// abandon takes a waiter out; if it has been woken already, the next one is
-// woken in its place.
-func (p *pool) abandon(wait chan struct{}) {
+// Reasons of refusals by a pool.
+const (
+	reasonUpstreamGone = "upstream_gone"
+	reasonNoTurn       = "no_turn"
+)
+
+func upstreamGone() error { return &Refusal{Code: RefusedBusy, Reason: reasonUpstreamGone} }
+
+// abandon takes a waiter out; what it was granted meanwhile is used.
+func (p *pool) abandon(w *waiter) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range p.waiters {
-		if w == wait {
+	for i, other := range p.waiters {
+		if other == w {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return
+			return nil, &Refusal{Code: RefusedBusy, Reason: reasonNoTurn}
 		}
 	}
-	p.wakeLocked()
+	g := <-w.granted
+	return g.conn, g.err
+}
+
+// idleLocked puts a connection back.
+func (p *pool) idleLocked(c *conn) {
+	p.leaveLocked(c)
+	c.idleAt = bootclock.Now()
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) leaveLocked(c *conn) {
+	if c.counted {
+		c.counted = false
+		p.inFlight--
+	}
 }
 
-// dial opens a connection for which the caller has counted one open already.
-func (p *pool) dial(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// rest keeps a connection for a transaction whose caller is to send the next
+// statement.
+func (p *pool) rest(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaveLocked(c)
+	p.grantLocked()
+}
+
+// resume counts a transaction's connection as in flight again. It doesn't wait:
+// a transaction that holds a connection shall end soon.
+func (p *pool) resume(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.counted {
+		c.counted = true
+		p.inFlight++
+	}
+}
+
+// dial opens a connection that grantLocked has counted as open.
+func (p *pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.mu.Lock()
 	u := p.upstream
@@ -158,13 +243,32 @@
 	dialed, err := p.dialer.Dial(ctx, u)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing--
 	if err != nil {
 		p.open--
 		p.dialFailedLocked(err)
-		p.wakeLocked()
-		return nil, err
+		p.failWaitersLocked(err)
+		return
 	}
-	return &conn{Conn: dialed, pool: p, values: map[string]string{}, prepared: map[string]bool{}}, nil
+	c := &conn{Conn: dialed, pool: p, values: map[string]string{}, prepared: map[string]bool{}}
+	if p.closed {
+		p.closeLocked(c)
+		return
+	}
+	p.idleLocked(c)
+	p.grantLocked()
+}
+
+// failWaitersLocked lets those who wait choose another upstream, unless
+// connections remain that they can wait for.
+func (p *pool) failWaitersLocked(err error) {
+	if p.open > p.dialing {
+		return
+	}
+	for _, w := range p.waiters {
+		w.granted <- grant{err: err}
+	}
+	p.waiters = nil
 }
 
 func (p *pool) dialFailedLocked(err error) {
@@ -187,12 +291,17 @@
 	p.backoffTill = bootclock.Now().Add(pause)
 }
 
-// discardLocked closes a connection that cannot be used again.
-func (p *pool) discardLocked(c *conn) {
+// closeLocked closes a connection that cannot be used again.
+func (p *pool) closeLocked(c *conn) {
+	p.leaveLocked(c)
 	p.open--
 	// The connection is lost in any case; its close error tells nothing.
 	_ = c.Close()
-	p.wakeLocked()
+}
+
+func (p *pool) discardLocked(c *conn) {
+	p.closeLocked(c)
+	p.grantLocked()
 }
 
 // release returns a connection whose last exchange was complete and that is in
@@ -204,20 +313,27 @@
 		p.discardLocked(c)
 		return
 	}
-	c.idleAt = bootclock.Now()
-	p.idle = append(p.idle, c)
-	p.wakeLocked()
+	p.idleLocked(c)
+	p.grantLocked()
 }
 
-// discard closes a connection after a failure. Other idle connections may have
-// gone silent with it, so they are closed too.
-func (p *pool) discard(c *conn) {
+// discard closes a connection after a failure of a statement that was sent at
+// sentAt. Unless the upstream has answered another one since, its other idle
+// connections may have gone silent as well, so they are closed too.
+func (p *pool) discard(c *conn, sentAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.discardLocked(c)
-	p.failedLocked()
-	for _, other := range p.idle {
-		p.discardLocked(other)
+	p.closeLocked(c)
+	if !p.answeredAt.After(sentAt) {
+		p.failedLocked()
+		p.closeAllIdleLocked()
+	}
+	p.grantLocked()
+}
+
+func (p *pool) closeAllIdleLocked() {
+	for _, c := range p.idle {
+		p.closeLocked(c)
 	}
 	p.idle = nil
 }
@@ -240,7 +356,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		p.discardLocked(c)
+		p.closeLocked(c)
 	}
 	p.idle = kept
 }
@@ -250,12 +366,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.idle {
-		p.discardLocked(c)
-	}
-	p.idle = nil
+	p.closeAllIdleLocked()
 	for _, w := range p.waiters {
-		close(w)
+		w.granted <- grant{err: upstreamGone()}
 	}
 	p.waiters = nil
 }
@@ -265,10 +378,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failures, p.backoffTill = 0, time.Time{}
+	p.answeredAt = bootclock.Now()
 	if took > 0 {
 		ms := float64(took) / float64(time.Millisecond)
 		p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
 		p.usedAt = bootclock.Now()
+		p.allowance.succeeded(p.inFlight)
 	}
 }
 
@@ -276,7 +391,9 @@
 func (p *pool) busy(pause time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backoffTill = bootclock.Now().Add(pause)
+	at := bootclock.Now()
+	p.backoffTill = at.Add(pause)
+	p.allowance.refused(at)
 }
 
 // lagging notes that the upstream lacked a position.
@@ -301,8 +418,7 @@
 	at := bootclock.Now()
 	forgotten := math.Exp2(-float64(at.Sub(p.usedAt)) / float64(forgetHalfLife))
 	service := p.serviceTime * max(forgotten, 0.1)
-	active := float64(p.open - len(p.idle) + len(p.waiters))
-	service *= 1 + active/float64(max(p.upstream.Slots, 1))
+	service *= 1 + float64(p.inFlight+len(p.waiters))/p.allowance.limit
 	return estimate{
 		wait:     time.Duration(service * float64(time.Millisecond)),
 		backsOff: at.Before(p.backoffTill),
--- /dev/null
+++ b/proxy/pool_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/upstream"
+)
+
+// Guards against a connection that is thrown away after each refused
+// transaction: an upstream spends a slot for 12 ms on each new one, and 9,000
+// of them in a day kept it from its work.
+func TestRefusedTransactionKeepsItsConnection(t *testing.T) {
+	f := newFixture(t)
+	g := f.proxy.group("g")
+	// Only the primary holds the position that reads need.
+	g.positions.add(upstream.Position{Term: 3, Offset: 200}, now())
+	f.group.set("p1", func(u *fakeUpstream) { u.held = 200 })
+	for range 20 {
+		s := f.open("bounded")
+		s.Do(context.Background(), &Statement{ID: "b", Kind: KindBegin, ReadOnly: true})
+		reply := s.Do(context.Background(), read("r"))
+		assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
+		s.Do(context.Background(), &Statement{ID: "e", Kind: KindRollback})
+		s.Close()
+		time.Sleep(time.Millisecond)
+	}
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	for id, u := range f.group.upstreams {
+		assert.Assert(t, u.dials <= 2, "%d connections to %s", u.dials, id)
+	}
+}
+
+// Guards against one lost answer that closes all connections of an upstream
+// that works, and makes proxies complain of it.
+func TestLostAnswerClosesOnlyItsConnection(t *testing.T) {
+	f := newFixture(t)
+	u := f.parts.Upstreams[0]
+	pl, _ := f.proxy.pool(u)
+	first, err := pl.acquire(context.Background(), urgent())
+	assert.NilError(t, err)
+	second, err := pl.acquire(context.Background(), urgent())
+	assert.NilError(t, err)
+	sentAt := now()
+	time.Sleep(time.Millisecond)
+	pl.succeeded(time.Millisecond)
+	pl.release(second)
+	pl.discard(first, sentAt)
+	assert.Equal(t, len(pl.idle), 1)
+	assert.Equal(t, pl.unreachableFor(), time.Duration(0))
+
+	third, err := pl.acquire(context.Background(), urgent())
+	assert.NilError(t, err)
+	pl.discard(third, now())
+	assert.Equal(t, len(pl.idle), 0)
+	assert.Assert(t, pl.unreachableFor() > 0)
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -204,7 +204,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	c, err := pl.acquire(ctx)
+	c, err := pl.acquire(ctx, urgent())
 	if err != nil {
 		p.metrics.Counter("samples_failed_total").Inc(1)
 		return
@@ -213,7 +213,7 @@
 	answers, err := c.Exchange(time.Now().Add(sampleTimeout), Command{Kind: CommandBegin}, Command{Kind: CommandRollback})
 	if err != nil {
 		p.metrics.Counter("samples_failed_total").Inc(1)
-		pl.discard(c)
+		pl.discard(c, askedAt)
 		return
 	}
 	pl.succeeded(0)
@@ -223,14 +223,37 @@
 	p.finish(c, answers[len(answers)-1])
 }
 
-// finish returns a connection after its last answer, if it is in no
-// transaction.
+// finish returns a connection after its last answer. An open or failed
+// transaction is rolled back first: a new connection would cost the upstream
+// far more.
 func (p *Proxy) finish(c *conn, last Answer) {
 	if last.State == StateIdle {
 		c.pool.release(c)
 		return
 	}
-	c.pool.drop(c)
+	p.rollBack(c)
+}
+
+// rollbackTimeout bounds a rollback, which needs no slot. A connection that
+// does not answer is closed, which rolls back as well.
+const rollbackTimeout = time.Second
+
+// rollBack rolls back and returns a connection without making anyone wait.
+func (p *Proxy) rollBack(c *conn) {
+	c.pool.rest(c)
+	go func() {
+		sentAt := now()
+		answers, err := c.Exchange(time.Now().Add(rollbackTimeout), Command{Kind: CommandRollback})
+		if err != nil {
+			c.pool.discard(c, sentAt)
+			return
+		}
+		if answers[0].State != StateIdle {
+			c.pool.drop(c)
+			return
+		}
+		c.pool.release(c)
+	}()
 }
 
 func (p *Proxy) closeIdle() {
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -87,12 +87,11 @@
 	if t.primary {
 		return s.readLatest(ctx, w, route, plan)
 	}
-	acquireCtx, cancel := context.WithTimeout(ctx, patience(t.pool, route))
+	turnCtx, cancel := context.WithTimeout(ctx, turnSlice)
 	defer cancel()
-	c, err := t.pool.acquire(acquireCtx)
+	c, err := t.pool.acquire(turnCtx, s.ticket(route))
 	if err != nil {
-		plan.excluded[t.upstream.Id] = true
-		return notAcquired(err)
+		return s.notAcquired(err, plan, t.upstream.Id)
 	}
 	command := w.forward()
 	command.After = t.after
@@ -101,11 +100,27 @@
 	return s.readAnswered(c, w, plan, startedAt, answers, err, 0)
 }
 
+// turnSlice is how long a read waits for its turn at one upstream before it
+// chooses again.
+const turnSlice = 60 * time.Millisecond
+
+// notAcquired excludes an upstream that cannot be reached from the next choice.
+// One that is only busy is judged by its expected wait.
+func (s *Session) notAcquired(err error, plan *readPlan, id string) attempt {
+	a := notAcquired(err)
+	if a.reason == reasonNoTurn {
+		a.wait = 0
+		return a
+	}
+	plan.excluded[id] = true
+	return a
+}
+
 // readAnswered handles the answers to a read; at tells which of them is the
 // read's own. A read may run again, since it changes nothing.
 func (s *Session) readAnswered(c *conn, w work, plan *readPlan, startedAt time.Time, answers []Answer, err error, at int) attempt {
 	if err != nil {
-		c.pool.discard(c)
+		c.pool.discard(c, startedAt)
 		plan.excluded[c.pool.id()] = true
 		return retry(reasonConnectionLost, 0)
 	}
@@ -156,7 +171,7 @@
 func (s *Session) openTransaction(ctx context.Context, pl *pool, w work, route *pb.SiteRoute, begin Command) (*conn, *attempt) {
 	ctx, cancel := context.WithTimeout(ctx, timeout(route))
 	defer cancel()
-	c, err := pl.acquire(ctx)
+	c, err := pl.acquire(ctx, s.ticket(route))
 	if err != nil {
 		a := notAcquired(err)
 		return nil, &a
@@ -164,7 +179,7 @@
 	askedAt := now()
 	answers, err := exchange(c, time.Now().Add(openPatience), s.setUp(c, w), begin)
 	if err != nil {
-		pl.discard(c)
+		pl.discard(c, askedAt)
 		// Nothing that takes effect has been sent.
 		a := retry(reasonConnectionLost, 0)
 		return nil, &a
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -28,6 +28,8 @@
 
 	state TransactionState
 	tx    *transaction // nil unless a transaction is open or failed
+	// begunAt is when the caller's operation began.
+	begunAt time.Time
 }
 
 type preparedStatement struct {
@@ -54,6 +56,9 @@
 
 // Do runs one statement. The reply is final.
 func (s *Session) Do(ctx context.Context, st *Statement) Reply {
+	if s.tx == nil {
+		s.begunAt = now()
+	}
 	reply := s.do(ctx, st)
 	reply.State = s.state
 	if r := reply.Refusal; r != nil {
@@ -238,6 +243,11 @@
 // Close ends the session and rolls an open transaction back.
 func (s *Session) Close() { s.endTransaction() }
 
+// ticket says how urgent the caller's operation is.
+func (s *Session) ticket(route *pb.SiteRoute) ticket {
+	return ticket{arrivedAt: s.begunAt, target: time.Duration(route.TargetMs) * time.Millisecond}
+}
+
 // age is how old the data of a read may be.
 func age(route *pb.SiteRoute) time.Duration { return time.Duration(route.AgeMs) * time.Millisecond }
 
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -57,25 +57,12 @@
 	s.state = StateFailed
 }
 
-// rollbackTimeout bounds a rollback, which needs no slot. A connection that
-// does not answer is closed, which rolls back as well.
-const rollbackTimeout = time.Second
-
-// rollBack ends a transaction at its upstream without making the caller wait.
+// rollBack ends a transaction at its upstream.
 func (s *Session) rollBack(tx *transaction) {
-	c := tx.conn
-	tx.conn = nil
-	if c == nil {
-		return
+	if tx.conn != nil {
+		s.proxy.rollBack(tx.conn)
 	}
-	go func() {
-		answers, err := c.Exchange(time.Now().Add(rollbackTimeout), Command{Kind: CommandRollback})
-		if err != nil {
-			c.pool.discard(c)
-			return
-		}
-		s.proxy.finish(c, answers[0])
-	}()
+	tx.conn = nil
 }
 
 // IdleLimit returns how long the caller may rest now; 0 for no limit.
@@ -132,6 +119,7 @@
 		return *failed
 	}
 	s.tx.conn, s.tx.primary = c, false
+	c.pool.rest(c)
 	return final(Reply{})
 }
 
@@ -141,6 +129,7 @@
 		return *failed
 	}
 	s.tx.conn, s.tx.primary = c, true
+	c.pool.rest(c)
 	return final(Reply{})
 }
 
@@ -166,10 +155,12 @@
 	tx := s.tx
 	c := tx.conn
 	askedAt := now()
+	c.pool.resume(c)
 	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), s.setUp(c, w), w.forward())
 	if err != nil {
-		return s.connectionLost(w, err)
+		return s.connectionLost(w, askedAt, err)
 	}
+	c.pool.rest(c)
 	a := answers[0]
 	c.pool.succeeded(now().Sub(askedAt))
 	switch {
@@ -192,10 +183,10 @@
 
 // connectionLost fails the transaction: its commit was not sent, so nothing of
 // it is kept.
-func (s *Session) connectionLost(w work, err error) attempt {
+func (s *Session) connectionLost(w work, askedAt time.Time, err error) attempt {
 	c := s.tx.conn
 	s.tx.conn = nil
-	c.pool.discard(c)
+	c.pool.discard(c, askedAt)
 	s.state = StateFailed
 	s.proxy.log.Warn("connection of a transaction lost", "request", w.statement.ID, "database", s.database,
 		"upstream", c.pool.id(), "error", err)
@@ -238,10 +229,11 @@
 	tx := s.tx
 	c := tx.conn
 	askedAt := now()
+	c.pool.resume(c)
 	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), nil, w.forward())
 	if err != nil {
 		tx.conn = nil
-		c.pool.discard(c)
+		c.pool.discard(c, askedAt)
 		s.endTransaction()
 		s.proxy.log.Warn("outcome of a commit is unknown", "request", w.statement.ID, "database", s.database,
 			"upstream", c.pool.id(), "after", now().Sub(askedAt), "error", err)
@@ -249,6 +241,7 @@
 	}
 	a := answers[0]
 	c.pool.succeeded(now().Sub(askedAt))
+	c.pool.rest(c)
 	if a.Code == CodeBusy && a.State == StateOpen {
 		return retry(reasonBusy, jitter(busyPause))
 	}
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -21,14 +21,14 @@
 	}
 	acquireCtx, cancel := context.WithTimeout(ctx, timeout(route))
 	defer cancel()
-	c, err := pl.acquire(acquireCtx)
+	c, err := pl.acquire(acquireCtx, s.ticket(route))
 	if err != nil {
 		return notAcquired(err)
 	}
 	askedAt := now()
 	answers, err := exchange(c, time.Now().Add(timeout(route)), s.setUp(c, w), w.forward())
 	if err != nil {
-		pl.discard(c)
+		pl.discard(c, askedAt)
 		s.proxy.log.Warn("outcome of a write is unknown", "request", w.statement.ID, "database", s.database,
 			"upstream", pl.id(), "after", now().Sub(askedAt), "error", err)
 		return final(unknown(fault.ReasonOutcomeUnknown))
