Let control hosts ask primaries for positions; share scarce connections

Each proxy asked each primary for its position twice a second, which grows with hosts x upstreams and needs a connection to each. A control host now asks once for all proxies that use it; the age that a proxy counts begins with its own call, so that no clock of another host matters.

--- a/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
@@ -39,6 +39,8 @@
 	SiteServiceAnnounceProcedure = "/lovageslip.v1.SiteService/Announce"
 	// SiteServiceReportProcedure is the fully-qualified name of the SiteService's Report RPC.
 	SiteServiceReportProcedure = "/lovageslip.v1.SiteService/Report"
+	// SiteServicePositionsProcedure is the fully-qualified name of the SiteService's Positions RPC.
+	SiteServicePositionsProcedure = "/lovageslip.v1.SiteService/Positions"
 )
 
 // SiteServiceClient is a client for the lovageslip.v1.SiteService service.
@@ -49,6 +51,8 @@
 	Announce(context.Context, *connect.Request[v1.AnnounceUpstreamRequest]) (*connect.Response[v1.AnnounceUpstreamResponse], error)
 	// Report tells which upstreams cannot be reached, and by how many proxies.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Positions tells what the primaries of groups held a moment ago.
+	Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error)
 }
 
 // NewSiteServiceClient constructs a client for the lovageslip.v1.SiteService service. By default,
@@ -80,14 +84,21 @@
 			connect.WithSchema(siteServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		positions: connect.NewClient[v1.PositionsRequest, v1.PositionsResponse](
+			httpClient,
+			baseURL+SiteServicePositionsProcedure,
+			connect.WithSchema(siteServiceMethods.ByName("Positions")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // siteServiceClient implements SiteServiceClient.
 type siteServiceClient struct {
-	watch    *connect.Client[v1.WatchSiteRequest, v1.SiteUpdate]
-	announce *connect.Client[v1.AnnounceUpstreamRequest, v1.AnnounceUpstreamResponse]
-	report   *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	watch     *connect.Client[v1.WatchSiteRequest, v1.SiteUpdate]
+	announce  *connect.Client[v1.AnnounceUpstreamRequest, v1.AnnounceUpstreamResponse]
+	report    *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	positions *connect.Client[v1.PositionsRequest, v1.PositionsResponse]
 }
 
 // Watch calls lovageslip.v1.SiteService.Watch.
@@ -105,6 +116,11 @@
 	return c.report.CallUnary(ctx, req)
 }
 
+// Positions calls lovageslip.v1.SiteService.Positions.
+func (c *siteServiceClient) Positions(ctx context.Context, req *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error) {
+	return c.positions.CallUnary(ctx, req)
+}
+
 // SiteServiceHandler is an implementation of the lovageslip.v1.SiteService service.
 type SiteServiceHandler interface {
 	// Watch sends the state at once and after each change.
@@ -113,6 +129,8 @@
 	Announce(context.Context, *connect.Request[v1.AnnounceUpstreamRequest]) (*connect.Response[v1.AnnounceUpstreamResponse], error)
 	// Report tells which upstreams cannot be reached, and by how many proxies.
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Positions tells what the primaries of groups held a moment ago.
+	Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error)
 }
 
 // NewSiteServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -140,6 +158,12 @@
 		connect.WithSchema(siteServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siteServicePositionsHandler := connect.NewUnaryHandler(
+		SiteServicePositionsProcedure,
+		svc.Positions,
+		connect.WithSchema(siteServiceMethods.ByName("Positions")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovageslip.v1.SiteService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SiteServiceWatchProcedure:
@@ -148,6 +172,8 @@
 			siteServiceAnnounceHandler.ServeHTTP(w, r)
 		case SiteServiceReportProcedure:
 			siteServiceReportHandler.ServeHTTP(w, r)
+		case SiteServicePositionsProcedure:
+			siteServicePositionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -168,3 +194,7 @@
 func (UnimplementedSiteServiceHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Report is not implemented"))
 }
+
+func (UnimplementedSiteServiceHandler) Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Positions is not implemented"))
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -23,9 +23,10 @@
 	// after a failure. The first is a round trip between regions.
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 500 * time.Millisecond
-	// idleLimit is how long an unused connection is kept. It is below the
-	// time after which servers close idle connections.
-	idleLimit = 45 * time.Second
+	// openTime is the time that opening a connection adds to a statement.
+	// Upstreams take 12 ms, and round trips of up to 40 ms come on top. It
+	// counts where connections are scarce; elsewhere they stay open.
+	openTime = 30 * time.Millisecond
 )
 
 // pool holds a proxy's connections to one upstream and what the proxy has
@@ -36,7 +37,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	upstream *pb.SiteUpstream
-	limit    int
+	share    share
 	open     int
 	idle     []*conn // most recently used last
 	closed   bool
@@ -82,20 +83,20 @@
 	counted bool
 }
 
-func newPool(dialer Dialer, u *pb.SiteUpstream, limit int) *pool {
+func newPool(dialer Dialer, u *pb.SiteUpstream, part share) *pool {
 	return &pool{
 		dialer:      dialer,
 		upstream:    u,
-		limit:       limit,
+		share:       part,
 		allowance:   newAllowance(),
 		serviceTime: float64(firstServiceTime / time.Millisecond),
 	}
 }
 
-func (p *pool) update(u *pb.SiteUpstream, limit int) {
+func (p *pool) update(u *pb.SiteUpstream, part share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upstream, p.limit = u, limit
+	p.upstream, p.share = u, part
 	p.grantLocked()
 }
 
@@ -133,7 +134,7 @@
 		p.removeNextLocked(at).granted <- grant{conn: c}
 	}
 	room := int(p.allowance.limit) - p.inFlight
-	for p.dialing < min(len(p.waiters), room) && p.open < p.limit && !p.closed {
+	for p.dialing < min(len(p.waiters), room) && p.open < p.share.limit && !p.closed {
 		p.open++
 		p.dialing++
 		go p.dial()
@@ -309,7 +310,7 @@
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.open > p.limit {
+	if p.closed || p.open > p.share.limit {
 		p.discardLocked(c)
 		return
 	}
@@ -352,7 +353,7 @@
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if bootclock.Since(c.idleAt) < idleLimit {
+		if bootclock.Since(c.idleAt) < p.share.idle {
 			kept = append(kept, c)
 			continue
 		}
@@ -419,8 +420,12 @@
 	forgotten := math.Exp2(-float64(at.Sub(p.usedAt)) / float64(forgetHalfLife))
 	service := p.serviceTime * max(forgotten, 0.1)
 	service *= 1 + float64(p.inFlight+len(p.waiters))/p.allowance.limit
+	wait := time.Duration(service * float64(time.Millisecond))
+	if len(p.idle) == 0 && p.share.idle == scarceIdle {
+		wait += openTime
+	}
 	return estimate{
-		wait:     time.Duration(service * float64(time.Millisecond)),
+		wait:     wait,
 		backsOff: at.Before(p.backoffTill),
 		behind:   at.Before(p.laggingTill),
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -23,9 +23,9 @@
 	// reservedConnections of an upstream are kept for the control hosts.
 	reservedConnections = 4
 	// sampleInterval is how old the newest sample of a group may get while
-	// reads need one. With a round trip between regions it stays well
-	// below the ages that operators ask for.
-	sampleInterval = 500 * time.Millisecond
+	// reads need one. Twice that, after which the proxy asks by itself, is
+	// still below the ages that operators ask for.
+	sampleInterval = 450 * time.Millisecond
 	sampleTick     = 100 * time.Millisecond
 	sampleTimeout  = 400 * time.Millisecond
 	// samplesWanted is how long after a read the samples are kept fresh.
@@ -39,8 +39,11 @@
 type Options struct {
 	DataCentre string
 	Dialer     Dialer
-	Log        *slog.Logger
-	Metrics    tally.Scope
+	// Positions returns what the primaries of groups held, as a control
+	// host knows it; nil if there is none to ask.
+	Positions func(ctx context.Context, groups []string) ([]GroupPosition, error)
+	Log       *slog.Logger
+	Metrics   tally.Scope
 }
 
 // Proxy serves sessions on the upstreams of a view. It is safe for concurrent
@@ -96,15 +99,15 @@
 	defer p.mu.Unlock()
 	wanted := make(map[poolKey]bool)
 	for _, g := range v.Groups() {
-		limit := connectionLimit(g.MaxConnections, v.Proxies)
+		part := connectionShare(g.MaxConnections, v.Proxies)
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
 			wanted[key] = true
 			if existing, ok := p.pools[key]; ok {
-				existing.update(u, limit)
+				existing.update(u, part)
 				continue
 			}
-			p.pools[key] = newPool(p.o.Dialer, u, limit)
+			p.pools[key] = newPool(p.o.Dialer, u, part)
 		}
 	}
 	for key, old := range p.pools {
@@ -116,9 +119,33 @@
 	p.view.Store(v)
 }
 
-// connectionLimit divides the connections of an upstream among the proxies.
-func connectionLimit(connections, proxies int) int {
-	return max((connections-reservedConnections)/max(proxies, 1), 1)
+// share is a proxy's share of the connections of one upstream.
+type share struct {
+	// limit is how many it may have open.
+	limit int
+	// idle is how long an unused one stays open.
+	idle time.Duration
+}
+
+const (
+	// idleLimit is below the time after which servers close idle
+	// connections.
+	idleLimit = 45 * time.Second
+	// scarceLimit and scarceIdle apply where there are too few connections
+	// for each proxy to keep its own. A proxy opens one when it needs it,
+	// and gives it up soon after. A read and a transaction can then go on
+	// side by side.
+	scarceLimit = 2
+	scarceIdle  = 800 * time.Millisecond
+)
+
+// connectionShare divides the connections of an upstream among the proxies.
+func connectionShare(connections, proxies int) share {
+	each := (connections - reservedConnections) / max(proxies, 1)
+	if each < scarceLimit {
+		return share{limit: scarceLimit, idle: scarceIdle}
+	}
+	return share{limit: each, idle: idleLimit}
 }
 
 func keyOf(u *pb.SiteUpstream) poolKey {
@@ -169,15 +196,62 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, g := range p.View().Groups() {
-			if p.sampleDue(g.Name) {
-				tasks.Go(func() { p.sample(ctx, g.Name) })
-			}
+		if due := p.samplesDue(); len(due) > 0 {
+			tasks.Go(func() { p.refresh(ctx, due) })
 		}
 		p.closeIdle()
 	}
 }
 
+func (p *Proxy) samplesDue() []string {
+	var due []string
+	for _, g := range p.View().Groups() {
+		if p.sampleDue(g.Name) {
+			due = append(due, g.Name)
+		}
+	}
+	return due
+}
+
+// refresh gets new samples from a control host, and asks the primaries itself
+// where that has brought none.
+func (p *Proxy) refresh(ctx context.Context, groups []string) {
+	_, _, _ = p.sampling.Do("", func() (any, error) {
+		p.askControl(ctx, groups)
+		return nil, nil
+	})
+	for _, name := range groups {
+		if p.group(name).positions.newestAge() > 2*sampleInterval {
+			p.sample(ctx, name)
+		}
+	}
+}
+
+// askControl adds the samples of a control host.
+func (p *Proxy) askControl(ctx context.Context, groups []string) {
+	if p.o.Positions == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
+	defer cancel()
+	known, err := p.o.Positions(ctx, groups)
+	if err != nil {
+		p.metrics.Counter("positions_failed_total").Inc(1)
+		return
+	}
+	for _, k := range known {
+		p.group(k.Group).positions.add(k.Position, k.AskedAt)
+	}
+}
+
+// GroupPosition says that a group's primary held a position, and so every
+// commit that was acknowledged before AskedAt.
+type GroupPosition struct {
+	Group    string
+	Position upstream.Position
+	AskedAt  time.Time
+}
+
 func (p *Proxy) sampleDue(name string) bool {
 	g := p.group(name)
 	if g.positions.newestAge() < sampleInterval {
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -70,7 +70,7 @@
 	g.want()
 	floor, ok := g.positions.floor(age(route))
 	if !ok {
-		s.proxy.sample(ctx, route.Group)
+		s.proxy.refresh(ctx, []string{route.Group})
 		floor, ok = g.positions.floor(age(route))
 	}
 	if route.Freshness == pb.Freshness_FRESHNESS_OWN_WRITES {
--- /dev/null
+++ b/sitecontrol/positions.go
@@ -0,0 +1,127 @@
+package sitecontrol
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+	"lovageslip/upstream"
+)
+
+const (
+	// sampleAge is how old the position of a group may be before it is asked
+	// for again. Ages that operators ask for are above a second.
+	sampleAge     = 200 * time.Millisecond
+	sampleTimeout = 400 * time.Millisecond
+	// sampleWait is how long a call waits for a sample that is too old to
+	// be of use.
+	sampleWait    = 250 * time.Millisecond
+	sampleUseless = time.Second
+)
+
+// sampledGroup is the newest position of a group's primary. Server.mu guards
+// it.
+type sampledGroup struct {
+	position upstream.Position
+	askedAt  time.Time
+	// running is closed when the sample that is being taken has ended; nil
+	// if none is.
+	running chan struct{}
+}
+
+// Positions implements SiteService. The control hosts ask each primary once for
+// all proxies, so that the cost doesn't grow with their number.
+func (s *Server) Positions(ctx context.Context, r *connect.Request[pb.PositionsRequest]) (*connect.Response[pb.PositionsResponse], error) {
+	response := &pb.PositionsResponse{}
+	for _, group := range r.Msg.Groups {
+		if p := s.position(ctx, group); p != nil {
+			response.Positions = append(response.Positions, p)
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (s *Server) position(ctx context.Context, group string) *pb.GroupPosition {
+	running, age := s.startSample(group)
+	if running != nil && age > sampleUseless {
+		timer := time.NewTimer(sampleWait)
+		defer timer.Stop()
+		select {
+		case <-running:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.sampled[group]
+	if g == nil || g.askedAt.IsZero() {
+		return nil
+	}
+	return &pb.GroupPosition{
+		Group:  group,
+		Term:   uint64(g.position.Term),
+		Offset: uint64(g.position.Offset),
+		// Rounded up: the proxy relies on the age being no less.
+		AgeMs: uint32(now().Sub(g.askedAt)/time.Millisecond) + 1,
+	}
+}
+
+// startSample takes a sample in the background if one is due. It returns a
+// channel that is closed at its end, and the age of the newest one.
+func (s *Server) startSample(group string) (running <-chan struct{}, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.sampled[group]
+	if g == nil {
+		g = &sampledGroup{}
+		s.sampled[group] = g
+	}
+	age = now().Sub(g.askedAt)
+	if age < sampleAge {
+		return nil, age
+	}
+	if g.running == nil {
+		ended := make(chan struct{})
+		g.running = ended
+		go func() {
+			defer close(ended)
+			s.takeSample(group)
+		}()
+	}
+	return g.running, age
+}
+
+func (s *Server) takeSample(group string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+	defer cancel()
+	askedAt := now()
+	position, err := s.askPosition(ctx, group)
+	if err != nil {
+		s.metrics.Counter("samples_failed_total").Inc(1)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.sampled[group]
+	g.running = nil
+	if err == nil {
+		g.position, g.askedAt = position, askedAt
+	}
+}
+
+func (s *Server) askPosition(ctx context.Context, group string) (upstream.Position, error) {
+	state, _, _ := s.o.State.Current()
+	primary := site.Upstream(state, site.Group(state, group).GetPrimary())
+	if primary == nil {
+		return upstream.Position{}, &NoPrimary{Group: group}
+	}
+	return s.o.Prober.Position(ctx, primary)
+}
+
+// NoPrimary reports a group whose primary is not known.
+type NoPrimary struct{ Group string }
+
+func (e *NoPrimary) Error() string { return "group " + e.Group + " has no known primary" }
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -38,6 +38,9 @@
 // answered that it has no free slot.
 type Prober interface {
 	Status(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error)
+	// Position returns what the upstream holds if it leads, and an error
+	// if it does not.
+	Position(ctx context.Context, u *pb.SiteUpstream) (upstream.Position, error)
 	// StepDown makes a primary of a lower term a replica.
 	StepDown(ctx context.Context, u *pb.SiteUpstream, term upstream.Term) (UpstreamStatus, error)
 }
@@ -100,6 +103,8 @@
 	// this host as the leader.
 	seen     map[string]announcement
 	watchers map[*watcher]struct{}
+	// sampled is what the primaries of groups held.
+	sampled map[string]*sampledGroup
 }
 
 type report struct {
@@ -124,6 +129,7 @@
 		reports:  make(map[string]report),
 		seen:     make(map[string]announcement),
 		watchers: make(map[*watcher]struct{}),
+		sampled:  make(map[string]*sampledGroup),
 	}
 }
 
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -17,13 +17,16 @@
 	"github.com/uber-go/tally/v4"
 
 	"lovageslip/bootclock"
+	"lovageslip/consensus"
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/logging"
 	"lovageslip/metrics"
+	"lovageslip/proxy"
 	"lovageslip/site"
 	"lovageslip/sitecontrol"
+	"lovageslip/upstream"
 )
 
 const (
@@ -45,12 +48,16 @@
 	// Seeds returns internal addresses of control hosts that may be running.
 	Seeds      func() []string
 	HTTPClient *http.Client
-	// OnView is called with each newer view, from one goroutine.
-	OnView func(*site.View)
-	// Unreachable lists the upstreams that the proxy cannot reach.
-	Unreachable func() []string
-	Log         *slog.Logger
-	Metrics     tally.Scope
+	Log        *slog.Logger
+	Metrics    tally.Scope
+}
+
+// Proxy is what the watch works for.
+type Proxy interface {
+	// SetView is called with each newer view, from one goroutine.
+	SetView(*site.View)
+	// Unreachable lists the primaries that the proxy cannot reach.
+	Unreachable() []string
 }
 
 // Watch is safe for concurrent use.
@@ -61,6 +68,7 @@
 
 	// mu guards the fields below.
 	mu      sync.Mutex
+	clients map[string]lovageslipv1connect.SiteServiceClient
 	parts   site.ViewParts
 	current string // address of the control host that is watched
 	heardAt time.Time
@@ -70,16 +78,17 @@
 func New(o Options) *Watch {
 	return &Watch{
 		o:       o,
+		clients: make(map[string]lovageslipv1connect.SiteServiceClient),
 		log:     logging.For(o.Log, "watch"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("watch"),
 	}
 }
 
-// Run watches until ctx ends.
-func (w *Watch) Run(ctx context.Context) {
+// Run watches for a proxy until ctx ends.
+func (w *Watch) Run(ctx context.Context, p Proxy) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { w.runReports(ctx) })
+	tasks.Go(func() { w.runReports(ctx, p) })
 	failed := ""
 	for ctx.Err() == nil {
 		address, ok := w.nearest(ctx, failed)
@@ -88,7 +97,7 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		err := w.watch(ctx, address)
+		err := w.watch(ctx, address, p)
 		w.log.Warn("control host lost", "address", address, "index", w.index(), "error", err)
 		w.metrics.Counter("control_hosts_lost_total").Inc(1)
 		failed = address
@@ -155,12 +164,12 @@
 }
 
 // watch follows one control host until it fails or falls silent.
-func (w *Watch) watch(ctx context.Context, address string) error {
+func (w *Watch) watch(ctx context.Context, address string, p Proxy) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
 	defer silence.Stop()
-	client := sitecontrol.NewClient(w.o.HTTPClient, address)
+	client := w.client(address)
 	request := connect.NewRequest(&pb.WatchSiteRequest{Proxy: w.o.Name, DataCentre: w.o.DataCentre})
 	stream, err := client.Watch(ctx, request)
 	if err != nil {
@@ -174,7 +183,7 @@
 			w.log.Info("watching a control host", "address", address)
 			first = false
 		}
-		if !w.take(address, stream.Msg()) {
+		if !w.take(address, stream.Msg(), p) {
 			return &OldState{Address: address}
 		}
 	}
@@ -188,7 +197,7 @@
 
 // take applies an update. It reports false if this proxy has seen a newer
 // state; the updates that follow build on the old one and are of no use.
-func (w *Watch) take(address string, u *pb.SiteUpdate) bool {
+func (w *Watch) take(address string, u *pb.SiteUpdate, p Proxy) bool {
 	w.mu.Lock()
 	w.current, w.heardAt = address, bootclock.Now()
 	if u.Index < w.parts.Index {
@@ -211,17 +220,17 @@
 	}
 	w.log.Info("view taken over", "index", parts.Index, "config", parts.Config.GetVersion(),
 		"upstreams", len(parts.Upstreams), "proxies", parts.Proxies, "from", address)
-	w.o.OnView(site.NewView(parts))
+	p.SetView(site.NewView(parts))
 	return true
 }
 
 // runReports tells the watched control host that this proxy runs, and what it
 // cannot reach.
-func (w *Watch) runReports(ctx context.Context) {
+func (w *Watch) runReports(ctx context.Context, p Proxy) {
 	var last []string
 	var sentAt time.Time
 	for sleep(ctx, reportTick) {
-		unreachable := w.o.Unreachable()
+		unreachable := p.Unreachable()
 		pause := sitecontrol.ReportInterval
 		if len(unreachable) > 0 {
 			pause = sitecontrol.ComplaintInterval
@@ -258,8 +267,41 @@
 	return true
 }
 
+// Positions returns what the primaries of groups held, as the watched control
+// host knows it. The age of each is counted from the begin of the call, so that
+// it is no less than the true one. Errors are *fault.IO and *fault.NotRun.
+func (w *Watch) Positions(ctx context.Context, groups []string) ([]proxy.GroupPosition, error) {
+	w.mu.Lock()
+	address := w.current
+	w.mu.Unlock()
+	if address == "" {
+		return nil, &fault.NotRun{Reason: consensus.ReasonNoLeader, Detail: "no control host is known"}
+	}
+	calledAt := bootclock.Now()
+	response, err := w.client(address).Positions(ctx, connect.NewRequest(&pb.PositionsRequest{Groups: groups}))
+	if err != nil {
+		return nil, &fault.IO{Op: "ask for positions", Err: err}
+	}
+	var positions []proxy.GroupPosition
+	for _, p := range response.Msg.Positions {
+		positions = append(positions, proxy.GroupPosition{
+			Group:    p.Group,
+			Position: upstream.Position{Term: upstream.Term(p.Term), Offset: upstream.Offset(p.Offset)},
+			AskedAt:  calledAt.Add(-time.Duration(p.AgeMs) * time.Millisecond),
+		})
+	}
+	return positions, nil
+}
+
 func (w *Watch) client(address string) lovageslipv1connect.SiteServiceClient {
-	return sitecontrol.NewClient(w.o.HTTPClient, address)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := w.clients[address]
+	if !ok {
+		c = sitecontrol.NewClient(w.o.HTTPClient, address)
+		w.clients[address] = c
+	}
+	return c
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
