--- a/cmd/lovageslip-site/main.go
+++ b/cmd/lovageslip-site/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -27,7 +29,9 @@
 type controlCommand struct{}
 
 func (controlCommand) Run(log *slog.Logger) error {
-	return platform.RunControl(context.Background(), log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.RunControl(ctx, log)
 }
 
 type checkCommand struct{}
@@ -38,12 +42,17 @@
 }
 
 func main() {
-	log := logging.New(os.Stdout, slog.LevelInfo, logging.FormatJSON)
+	out := logging.NewBounded(os.Stdout)
+	log := logging.New(out, slog.LevelInfo, logging.FormatJSON)
 	parsed := kong.Parse(&command{}, kong.Name("lovageslip-site"),
 		kong.Description("Run a host of a site. LOVAGESLIP_SETTINGS names its settings file."),
 		kong.Bind(log), kong.UsageOnError())
-	if err := parsed.Run(); err != nil {
+	err := parsed.Run()
+	if err != nil {
 		log.Error("process failed", "error", err)
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/logging/bounded.go
@@ -0,0 +1,97 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// boundedQueue is how many lines may wait to be written.
+	boundedQueue = 1024
+	// boundedRate and boundedBurst are the bytes that may be written a
+	// second, and at once after a pause. A host of a small site writes
+	// about 10 KB/s at its peak, so that the bound cuts off only loops.
+	boundedRate  = 64 << 10
+	boundedBurst = 256 << 10
+)
+
+// Bounded is a writer that never blocks: it drops lines that come faster than
+// they can or may be written, and says how many. It is safe for concurrent use.
+type Bounded struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	stopped chan struct{}
+	close   sync.Once
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	budget   float64 // bytes
+	budgetAt time.Time
+}
+
+// NewBounded returns a writer in front of out.
+func NewBounded(out io.Writer) *Bounded {
+	b := &Bounded{
+		out:      out,
+		lines:    make(chan []byte, boundedQueue),
+		stopped:  make(chan struct{}),
+		budget:   boundedBurst,
+		budgetAt: time.Now(),
+	}
+	go b.run()
+	return b
+}
+
+// Write takes one line. It always reports success: a logger cannot do anything
+// about a line that was dropped.
+func (b *Bounded) Write(line []byte) (int, error) {
+	if !b.spend(len(line)) {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (b *Bounded) spend(bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := time.Now()
+	b.budget = min(b.budget+at.Sub(b.budgetAt).Seconds()*boundedRate, boundedBurst)
+	b.budgetAt = at
+	if b.budget < float64(bytes) {
+		return false
+	}
+	b.budget -= float64(bytes)
+	return true
+}
+
+// Dropped returns how many lines were dropped.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
+// Close writes what waits. Nothing may be written afterwards.
+func (b *Bounded) Close() {
+	b.close.Do(func() { close(b.lines) })
+	<-b.stopped
+}
+
+func (b *Bounded) run() {
+	defer close(b.stopped)
+	var reported int64
+	for line := range b.lines {
+		// Nobody is left to tell of a log that cannot be written.
+		_, _ = b.out.Write(line)
+		if dropped := b.dropped.Load(); dropped != reported && len(b.lines) == 0 {
+			_, _ = fmt.Fprintf(b.out, "{\"level\":\"WARN\",\"msg\":\"logging: lines dropped\",\"total\":%d}\n", dropped)
+			reported = dropped
+		}
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -150,8 +150,17 @@
 	p.metrics.Tagged(map[string]string{"reason": r.Reason}).Counter("refused_total").Inc(1)
 }
 
-func (p *Proxy) served(st *Statement, database string, c *conn, took time.Duration, after any) {
-	p.metrics.Timer("statement_seconds").Record(took)
-	p.times.add(database, took)
-	p.log.Debug("statement served", "request", st.ID, "database", database, "upstream", c.pool.id(), "took", took, "after", after)
+// served notes a statement that an upstream has run.
+func (s *Session) served(st *Statement, c *conn, took time.Duration, a Answer) {
+	s.proxy.metrics.Timer("statement_seconds").Record(took)
+	switch {
+	case s.tx == nil:
+		s.proxy.times.add(s.workKind(), took)
+	case st.Kind == KindCommit:
+		s.proxy.times.add(s.workKind(), s.tx.took+took)
+	default:
+		s.tx.took += took
+	}
+	s.proxy.log.Info("statement served", "request", st.ID, "database", s.database, "upstream", c.pool.id(),
+		"took", took, "position", a.Position, "since_begin", now().Sub(s.begunAt))
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -139,7 +139,7 @@
 		return retry(reasonReadFailed, 0)
 	}
 	s.proxy.finish(c, last)
-	s.proxy.served(w.statement, s.database, c, now().Sub(startedAt), a.Position)
+	s.served(w.statement, c, now().Sub(startedAt), a)
 	return answered(a)
 }
 
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -249,10 +249,19 @@
 		arrivedAt: s.begunAt,
 		target:    time.Duration(route.TargetMs) * time.Millisecond,
 		priority:  route.Priority,
-		expected:  s.proxy.times.expected(s.database),
+		expected:  s.proxy.times.expected(s.workKind()),
 	}
 }
 
+// workKind names work that takes about the same time: the single statements or
+// the transactions of one database.
+func (s *Session) workKind() string {
+	if s.tx != nil {
+		return s.database + " transaction"
+	}
+	return s.database
+}
+
 // age is how old the data of a read may be.
 func age(route *pb.SiteRoute) time.Duration { return time.Duration(route.AgeMs) * time.Millisecond }
 
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -16,7 +16,9 @@
 	conn     *conn // nil until bound and after the end at the upstream
 	primary  bool
 	ran      bool
-	wrote    bool
+	// took is the time that its statements have taken at the upstream.
+	took  time.Duration
+	wrote bool
 	// expired is set if the proxy ended the transaction.
 	expired bool
 }
@@ -199,7 +201,7 @@
 	if s.tx.primary {
 		s.proxy.group(s.tx.route.Group).positions.add(a.Position, askedAt)
 	}
-	s.proxy.served(w.statement, s.database, s.tx.conn, now().Sub(askedAt), a.Position)
+	s.served(w.statement, s.tx.conn, now().Sub(askedAt), a)
 }
 
 func (s *Session) commit(ctx context.Context, st *Statement) Reply {
@@ -245,6 +247,9 @@
 	if a.Code == CodeBusy && a.State == StateOpen {
 		return retry(reasonBusy, jitter(busyPause))
 	}
+	if a.Code == CodeNone {
+		s.served(w.statement, c, now().Sub(askedAt), a)
+	}
 	if a.State == StateIdle {
 		tx.conn = nil
 		c.pool.release(c)
@@ -256,6 +261,5 @@
 	case a.Code.NotRun():
 		return final(aborted(fault.Reason(a.Code.String())))
 	}
-	s.proxy.served(w.statement, s.database, c, now().Sub(askedAt), a.Position)
 	return answered(a)
 }
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -41,7 +41,7 @@
 	s.proxy.finish(c, a)
 	if a.Code == CodeNone {
 		s.noteCommit(route.Group, a, askedAt)
-		s.proxy.served(w.statement, s.database, c, now().Sub(askedAt), a.Position)
+		s.served(w.statement, c, now().Sub(askedAt), a)
 	}
 	return answered(a)
 }
--- /dev/null
+++ b/sitecontrol/host_test.go
@@ -0,0 +1,222 @@
+package sitecontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/consensus"
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+	"lovageslip/tlsconf"
+	"lovageslip/upstream"
+)
+
+// fakeUpstreams answers probes and promotions for all hosts of a test.
+type fakeUpstreams struct {
+	mu       sync.Mutex
+	primary  map[string]string // upstream by group
+	dead     map[string]bool
+	received map[string]upstream.Offset
+	term     upstream.Term
+	orders   []order
+	// lose makes promotions be carried out without an answer.
+	lose bool
+}
+
+type order struct {
+	group, id, holder string
+	token             uint64
+}
+
+func newFakeUpstreams() *fakeUpstreams {
+	return &fakeUpstreams{primary: map[string]string{}, dead: map[string]bool{}, received: map[string]upstream.Offset{}, term: 1}
+}
+
+func (f *fakeUpstreams) Status(_ context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead[u.Id] {
+		return UpstreamStatus{}, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
+	}
+	s := UpstreamStatus{Received: upstream.Position{Term: f.term, Offset: f.received[u.Id]}}
+	if f.primary[u.Group] == u.Id {
+		s.Role = upstream.RolePrimary
+	}
+	return s, nil
+}
+
+func (f *fakeUpstreams) Position(ctx context.Context, u *pb.SiteUpstream) (upstream.Position, error) {
+	s, err := f.Status(ctx, u)
+	if err == nil && s.Role != upstream.RolePrimary {
+		err = &NoPrimary{Group: u.Group}
+	}
+	return s.Received, err
+}
+
+func (f *fakeUpstreams) StepDown(ctx context.Context, u *pb.SiteUpstream, _ upstream.Term) (UpstreamStatus, error) {
+	return f.Status(ctx, u)
+}
+
+func (f *fakeUpstreams) Promote(_ context.Context, group, id, holder string, token uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, order{group, id, holder, token})
+	if f.dead[id] {
+		return &PromotionRefused{Group: group, Upstream: id, Token: token}
+	}
+	if f.primary[group] != id {
+		f.term++
+	}
+	f.primary[group] = id
+	if f.lose {
+		return &fault.IO{Op: "promote", Err: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+func (f *fakeUpstreams) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeUpstreams) given() []order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]order(nil), f.orders...)
+}
+
+// testHost is a control host with its own data folder.
+type testHost struct {
+	t       *testing.T
+	address string
+	dir     string
+	seeds   []string
+	fake    *fakeUpstreams
+	server  *Server
+	node    *consensus.Node
+	stop    func()
+}
+
+func listenAnywhere(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func (h *testHost) start(l net.Listener, initial []consensus.Member) {
+	h.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	state := site.NewState()
+	node, err := consensus.Start(ctx, consensus.Options{
+		Name: h.address, Address: h.address, DataDir: h.dir, InitialMembers: initial, StateMachine: state,
+	})
+	assert.NilError(h.t, err)
+	h.node = node
+	h.server = New(Options{
+		Name: "host " + h.address, Address: h.address, MaxLost: 1, Consensus: node, State: state,
+		Seeds: func() []string { return h.seeds }, Prober: h.fake, Promoter: h.fake, HTTPClient: tlsconf.HTTPClient(nil),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(h.server.Handler())
+	for _, route := range node.Handlers() {
+		mux.Handle(route.Path, route.Handler)
+	}
+	server := &http.Server{Handler: mux, Protocols: tlsconf.Protocols(false, true)}
+	go func() { _ = server.Serve(l) }()
+	running := make(chan struct{})
+	go func() { defer close(running); h.server.Run(ctx) }()
+	h.stop = func() {
+		cancel()
+		_ = server.Close()
+		<-running
+		assert.NilError(h.t, node.Close())
+	}
+}
+
+// cluster starts control hosts that form a cluster.
+func cluster(t *testing.T, count int, fake *fakeUpstreams) []*testHost {
+	t.Helper()
+	var listeners []net.Listener
+	var initial []consensus.Member
+	var seeds []string
+	for range count {
+		l := listenAnywhere(t)
+		listeners = append(listeners, l)
+		address := l.Addr().String()
+		initial = append(initial, consensus.Member{Name: address, Address: address})
+		seeds = append(seeds, address)
+	}
+	var hosts []*testHost
+	for _, l := range listeners {
+		h := &testHost{t: t, address: l.Addr().String(), dir: t.TempDir(), seeds: seeds, fake: fake}
+		h.start(l, initial)
+		t.Cleanup(func() { h.stop() })
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+const waitLimit = 30 * time.Second
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("timed out: %s", what)
+}
+
+func store(t *testing.T, h *testHost, version uint64, document string) {
+	t.Helper()
+	config := &pb.SiteConfig{Version: version, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: 10}}}
+	waitFor(t, "configuration stored", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return h.server.StoreConfig(ctx, config, []byte(document)) == nil
+	})
+}
+
+func document(h *testHost) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	data, err := h.server.Document(ctx)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+func announce(t *testing.T, h *testHost, u *pb.SiteUpstream) {
+	t.Helper()
+	waitFor(t, "announcement of "+u.Id, func() bool {
+		return h.server.AnnounceUpstream(context.Background(), u) == nil
+	})
+}
+
+func primaryOf(h *testHost, group string) string {
+	state, _, _ := h.server.o.State.Current()
+	return site.Group(state, group).GetPrimary()
+}
+
+// listenAt waits until an address is free again.
+func listenAt(t *testing.T, address string) net.Listener {
+	t.Helper()
+	var l net.Listener
+	waitFor(t, "address "+address, func() bool {
+		var err error
+		l, err = net.Listen("tcp", address)
+		return err == nil
+	})
+	return l
+}
--- /dev/null
+++ b/sitecontrol/promotion_test.go
@@ -0,0 +1,86 @@
+package sitecontrol
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// group announces p (the primary), r1 and r2 through a host.
+func announceGroup(t *testing.T, h *testHost, fake *fakeUpstreams) {
+	t.Helper()
+	fake.set(func() {
+		fake.primary["g"] = "p"
+		fake.received["p"], fake.received["r1"], fake.received["r2"] = 30, 20, 25
+	})
+	for _, id := range []string{"p", "r1", "r2"} {
+		announce(t, h, announcement1(id, id == "p", 100, 1))
+	}
+	waitFor(t, "the primary known", func() bool { return primaryOf(h, "g") == "p" })
+}
+
+// complain makes most proxies miss an upstream until the test ends.
+func complain(h *testHost, id string) {
+	for _, name := range []string{"a", "b", "c"} {
+		h.server.mu.Lock()
+		h.server.reports[name] = report{at: now(), message: &pb.ReportRequest{
+			Reporter: name, Proxies: 1, Complaints: []*pb.Complaint{{Upstream: id, Proxies: 1}},
+		}}
+		h.server.mu.Unlock()
+	}
+}
+
+// Guards against a lost primary that is never replaced, and against a successor
+// that holds less than another.
+func TestLostPrimaryIsReplacedByTheMostAdvanced(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := cluster(t, 3, fake)
+	store(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	fake.set(func() { fake.dead["p"] = true })
+	waitFor(t, "another primary", func() bool {
+		for _, h := range hosts {
+			complain(h, "p")
+		}
+		return primaryOf(hosts[1], "g") == "r2"
+	})
+}
+
+// Guards against an order without an answer that is given again as a new one,
+// and against two orders with one token.
+func TestOrderWithoutAnAnswerKeepsItsToken(t *testing.T) {
+	fake := newFakeUpstreams()
+	fake.lose = true
+	hosts := cluster(t, 3, fake)
+	store(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	leaving := announcement1("p", true, 100, 2)
+	leaving.Leaving = true
+	announce(t, hosts[1], leaving)
+	waitFor(t, "another primary", func() bool { return primaryOf(hosts[1], "g") == "r2" })
+	for _, o := range fake.given() {
+		assert.Equal(t, o.id, "r2")
+		assert.Equal(t, o.token, fake.given()[0].token)
+	}
+}
+
+// Guards against a second order with the token of an earlier one: the platform
+// would carry out whichever comes last.
+func TestTokensOfOrdersRise(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := cluster(t, 3, fake)
+	store(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	for i, step := range []struct{ from, to string }{{"p", "r2"}, {"r2", "r1"}} {
+		leaving := announcement1(step.from, true, 100, uint64(10+i))
+		leaving.Leaving = true
+		announce(t, hosts[0], leaving)
+		waitFor(t, "primary "+step.to, func() bool { return primaryOf(hosts[0], "g") == step.to })
+	}
+	orders := fake.given()
+	assert.Assert(t, len(orders) >= 2)
+	first, last := orders[0], orders[len(orders)-1]
+	assert.Assert(t, first.id != last.id && first.token < last.token, "%v", orders)
+}
--- /dev/null
+++ b/sitecontrol/server_test.go
@@ -0,0 +1,107 @@
+package sitecontrol
+
+import (
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+)
+
+// Guards against an acknowledged configuration that an older one, sent again
+// or late, takes the place of.
+func TestHighestVersionStaysInForce(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	store(t, hosts[0], 7, "seven")
+	store(t, hosts[1], 5, "five")
+	store(t, hosts[2], 7, "other seven")
+	for _, h := range hosts {
+		waitFor(t, "the newest document", func() bool { return document(h) == "seven" })
+	}
+	store(t, hosts[2], 9, "nine")
+	for _, h := range hosts {
+		waitFor(t, "the newest document", func() bool { return document(h) == "nine" })
+	}
+}
+
+// Guards against a host without a quorum that answers with what it last knew.
+func TestDocumentNeedsAQuorum(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	store(t, hosts[0], 7, "seven")
+	for _, h := range hosts[1:] {
+		h.stop()
+		h.stop = func() {}
+	}
+	waitFor(t, "no answer without a quorum", func() bool { return document(hosts[0]) == "" })
+}
+
+// Guards against a host that returned with an empty disk and stays outside, so
+// that the next loss takes the quorum.
+func TestHostThatLostItsDiskJoinsAgain(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	store(t, hosts[0], 7, "seven")
+	wiped := hosts[2]
+	wiped.stop()
+	assert.NilError(t, os.RemoveAll(wiped.dir))
+	l := listenAt(t, wiped.address)
+	wiped.start(l, nil)
+	waitFor(t, "three voters, the wiped one among them", func() bool {
+		return votersOf(hosts[0]) == 3 && document(wiped) == "seven"
+	})
+	hosts[1].stop()
+	hosts[1].stop = func() {}
+	waitFor(t, "a quorum with the wiped host", func() bool { return document(wiped) == "seven" })
+}
+
+// Guards against members that pile up when hosts are replaced: with the dead
+// among the voters the next loss takes the quorum.
+func TestReplacedHostIsRemoved(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	store(t, hosts[0], 7, "seven")
+	hosts[2].stop()
+	hosts[2].stop = func() {}
+	l := listenAnywhere(t)
+	successor := &testHost{t: t, address: l.Addr().String(), dir: t.TempDir(), seeds: hosts[0].seeds, fake: hosts[0].fake}
+	successor.start(l, nil)
+	t.Cleanup(func() { successor.stop() })
+	waitFor(t, "three voters without the replaced one", func() bool {
+		for _, m := range hosts[0].node.Members() {
+			if m.Address == hosts[2].address {
+				return false
+			}
+		}
+		return votersOf(hosts[0]) == 3 && document(successor) == "seven"
+	})
+}
+
+func votersOf(h *testHost) int {
+	count := 0
+	for _, m := range h.node.Members() {
+		if m.Voter {
+			count++
+		}
+	}
+	return count
+}
+
+func announcement1(id string, primary bool, born int64, sequence uint64) *pb.SiteUpstream {
+	return &pb.SiteUpstream{Id: id, Group: "g", Address: "10.0.0.1:" + id, Slots: 3, Primary: primary, BornMs: born, Sequence: sequence}
+}
+
+// Guards against an announcement that was delayed and takes the place of a
+// newer one of the same upstream, or of its successor at the address.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	state := site.NewState()
+	s := New(Options{Name: "c1", State: state})
+	record := func(u *pb.SiteUpstream) bool {
+		current, _, _ := state.Current()
+		return s.noteAnnouncement(u, site.Upstream(current, u.Id))
+	}
+	assert.Assert(t, record(announcement1("a", true, 100, 5)))
+	assert.Assert(t, !record(announcement1("a", true, 100, 4)), "lower sequence")
+	assert.Assert(t, !record(announcement1("a", true, 100, 5)), "same sequence")
+	assert.Assert(t, !record(announcement1("a", true, 90, 50)), "earlier process")
+	assert.Assert(t, record(announcement1("a", false, 200, 1)), "later process under the same id")
+}
