--- a/consensus/status.go
+++ b/consensus/status.go
@@ -36,7 +36,7 @@
 	// Match is the last entry that the member is known to have synced.
 	Match uint64
 	// Silent is the time since the send time of the latest request that the
-	// member answered; zero if it has answered none.
+	// member answered, or since this host leads if it has answered none.
 	Silent time.Duration
 	// WrongIncarnation is true if the member runs on another data folder
 	// than the one it was added with. It doesn't count until it is removed
@@ -86,9 +86,11 @@
 	}
 	p := n.lead.peers[m.Name]
 	s.Match = p.match
-	if !p.ackedAt.IsZero() {
-		s.Silent = bootclock.Since(p.ackedAt)
+	heard := p.ackedAt
+	if heard.Before(n.lead.since) {
+		heard = n.lead.since
 	}
+	s.Silent = bootclock.Since(heard)
 	s.WrongIncarnation = p.incarnation != "" && p.incarnation != m.Incarnation && !n.formingLocked()
 	return s
 }
--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -26,6 +26,10 @@
 	received map[string]upstream.Offset
 	term     upstream.Term
 	orders   []order
+	// steppedDown lists the upstreams that were asked to step down.
+	steppedDown []string
+	// lost is set if a promotion rolled commits back.
+	lost bool
 	// lose makes promotions be carried out without an answer.
 	lose bool
 }
@@ -61,6 +65,12 @@
 }
 
 func (f *fakeUpstreams) StepDown(ctx context.Context, u *pb.SiteUpstream, _ upstream.Term) (UpstreamStatus, error) {
+	f.set(func() {
+		f.steppedDown = append(f.steppedDown, u.Id)
+		if f.primary[u.Group] == u.Id {
+			f.primary[u.Group] = ""
+		}
+	})
 	return f.Status(ctx, u)
 }
 
@@ -74,6 +84,9 @@
 	if f.primary[group] != id {
 		f.term++
 	}
+	for other, offset := range f.received {
+		f.lost = f.lost || (other != id && !f.dead[other] && offset > f.received[id])
+	}
 	f.primary[group] = id
 	if f.lose {
 		return &fault.IO{Op: "promote", Err: context.DeadlineExceeded}
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -29,7 +29,11 @@
 	// announcedWithin is how long after its last announcement a primary
 	// that few proxies miss is taken to be only cut off from this host.
 	announcedWithin = 3 * time.Second
-	promoteTimeout  = 1500 * time.Millisecond
+	// settleTimeout bounds the wait for a successor to receive the last
+	// commits: replicas are tens of milliseconds behind on a good day.
+	settleTimeout  = 800 * time.Millisecond
+	settleInterval = 20 * time.Millisecond
+	promoteTimeout = 1500 * time.Millisecond
 	// promoteRetry is the pause before an order without an answer is given
 	// again.
 	promoteRetry = 500 * time.Millisecond
@@ -274,9 +278,42 @@
 		return
 	}
 	w.orderedAt = now()
+	if primary != nil {
+		w.settle(ctx, primary, best.upstream)
+	}
 	w.give(ctx, best.upstream.Id, result.Index)
 }
 
+// settle ends the lead of a primary that still answers and waits until its
+// successor has received all that it acknowledged. Without it, a change of
+// primary that is planned would lose the commits of the last moments.
+func (w *groupWatch) settle(ctx context.Context, primary, successor *pb.SiteUpstream) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	before, err := w.s.o.Prober.Status(ctx, primary)
+	if err != nil || before.Role != upstream.RolePrimary {
+		w.s.log.Info("primary is not asked to step down", "group", w.group, "upstream", primary.Id, "error", err)
+		return
+	}
+	stepped, err := w.s.o.Prober.StepDown(ctx, primary, before.Received.Term+1)
+	if err != nil {
+		w.s.log.Warn("primary did not step down", "group", w.group, "upstream", primary.Id, "error", err)
+		return
+	}
+	for {
+		status, err := w.s.o.Prober.Status(ctx, successor)
+		if err == nil && !status.Received.Before(stepped.Received) {
+			w.s.log.Info("successor holds all commits", "group", w.group, "upstream", successor.Id, "position", status.Received)
+			return
+		}
+		if !sleep(ctx, settleInterval) {
+			w.s.log.Warn("successor lacks commits", "group", w.group, "upstream", successor.Id,
+				"wanted", stepped.Received, "position", status.Received, "error", err)
+			return
+		}
+	}
+}
+
 func mostAdvanced(answers []probed) *probed {
 	var best *probed
 	for _, p := range answers {
--- a/sitecontrol/promotion_test.go
+++ b/sitecontrol/promotion_test.go
@@ -84,3 +84,23 @@
 	first, last := orders[0], orders[len(orders)-1]
 	assert.Assert(t, first.id != last.id && first.token < last.token, "%v", orders)
 }
+
+// Guards against a planned change of primary that rolls back commits which were
+// acknowledged moments before it.
+func TestPlannedChangeLosesNoCommit(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := cluster(t, 3, fake)
+	store(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	leaving := announcement1("p", true, 100, 2)
+	leaving.Leaving = true
+	announce(t, hosts[0], leaving)
+	waitFor(t, "the primary steps down", func() bool {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return len(fake.steppedDown) > 0
+	})
+	fake.set(func() { fake.received["r2"] = 30 })
+	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
+	assert.Assert(t, !fake.lost)
+}
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -60,6 +60,13 @@
 func TestReplacedHostIsRemoved(t *testing.T) {
 	hosts := cluster(t, 3, newFakeUpstreams())
 	store(t, hosts[0], 7, "seven")
+	// A leader that has never heard from the dead host must count it as
+	// silent, too, so the leader is the one that ends.
+	for i, h := range hosts {
+		if _, leads := h.node.Leadership(); leads {
+			hosts[i], hosts[2] = hosts[2], hosts[i]
+		}
+	}
 	hosts[2].stop()
 	hosts[2].stop = func() {}
 	l := listenAnywhere(t)
