--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -36,7 +36,7 @@
 	promoteTimeout = 1500 * time.Millisecond
 	// promoteRetry is the pause before an order without an answer is given
 	// again.
-	promoteRetry = 500 * time.Millisecond
+	promoteRetry = 900 * time.Millisecond
 	// orderLifetime is how long an order may take before another upstream
 	// is named. The platform may carry it out seconds later.
 	orderLifetime = 2500 * time.Millisecond
