End the transactions of an owner that does not run

Cause of TestFrozenOwnerRunsNothingAfterwards (seen again today: 157 writes acknowledged, then outcomes unknown by timeout for 60 s): the suspicion of a write lock fits; a statement that waits for the lock of a frozen process's open transaction is at the new owner, has been sent, and is never answered. Connections of owners now ask the server to end transactions that rest for 3 s, the duration of a lease, and owners that run keep theirs alive each second.

--- a/owner/stream.go
+++ b/owner/stream.go
@@ -87,11 +87,52 @@
 	s.cancel = nil
 	if conn != nil && !s.closed {
 		s.pinned = conn
+		go s.keepAlive(conn)
 		return
 	}
 	s.release(conn)
 }
 
+const (
+	// keepAliveInterval is a third of the time for which the server lets a
+	// transaction rest.
+	keepAliveInterval = time.Second
+	keepAliveTimeout  = 500 * time.Millisecond
+)
+
+// keepAlive sends a query now and then while a transaction rests, so that the
+// server ends only the transactions of owners that do not run.
+func (s *stream) keepAlive(conn upstream.Conn) {
+	for {
+		timer := time.NewTimer(keepAliveInterval)
+		select {
+		case <-timer.C:
+		case <-s.ctx.Done():
+			timer.Stop()
+			return
+		}
+		if !s.keepAliveOnce(conn) {
+			return
+		}
+	}
+}
+
+// keepAliveOnce reports false once the transaction no longer rests. The next
+// batch waits until the query has been answered.
+func (s *stream) keepAliveOnce(conn upstream.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pinned != conn {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, keepAliveTimeout)
+	defer cancel()
+	// A failed transaction refuses the query, which keeps it alive as well.
+	// A broken connection is noticed by the next batch.
+	_, _ = conn.Status(ctx)
+	return true
+}
+
 // release ends what the stream holds. A connection with an open transaction
 // is closed, because the server then rolls back for certain.
 func (s *stream) release(conn upstream.Conn) {
--- a/standin/session.go
+++ b/standin/session.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -171,7 +173,7 @@
 				return err
 			}
 		}
-		kind, body, err := s.in.next()
+		kind, body, err := s.nextMessage()
 		if err != nil {
 			return err
 		}
@@ -185,6 +187,27 @@
 	}
 }
 
+// nextMessage waits for a message. A transaction that rests for too long ends
+// the session.
+func (s *session) nextMessage() (byte, []byte, error) {
+	limit := s.settings.rest()
+	if limit == 0 || s.tx.status() == 'I' {
+		return s.in.next()
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, nil, err
+	}
+	kind, body, err := s.in.next()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.fatal(&pgError{Code: "25P03", Message: "terminating connection due to idle-in-transaction timeout"})
+		return 0, nil, err
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	return kind, body, s.conn.SetReadDeadline(time.Time{})
+}
+
 func (s *session) greet() {
 	s.send(&pgproto3.AuthenticationOk{})
 	for _, name := range reportedSettings {
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -2,12 +2,18 @@
 
 import (
 	"maps"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-const readOnlySetting = "default_transaction_read_only"
+const (
+	readOnlySetting = "default_transaction_read_only"
+	// restSetting is in milliseconds; 0 is no limit.
+	restSetting = "idle_in_transaction_session_timeout"
+)
 
 // reportedSettings are sent as ParameterStatus at the start and on change.
 var reportedSettings = []string{
@@ -29,6 +35,7 @@
 	"standard_conforming_strings": "on",
 	"statement_timeout":           "0",
 	"lock_timeout":                "0",
+	restSetting:                   "0",
 	"timezone":                    "UTC",
 	"transaction_isolation":       "serializable",
 }
@@ -69,6 +76,16 @@
 
 func (s *settings) show(name string) string { return s.values[strings.ToLower(name)] }
 
+// rest is how long a transaction may rest between two statements; 0 for no
+// limit.
+func (s *settings) rest() time.Duration {
+	ms, err := strconv.Atoi(s.values[restSetting])
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (s *settings) readOnly() bool { return s.values[readOnlySetting] == "on" }
 
 // set changes a setting; DEFAULT returns it to its initial value.
--- a/upstream/pgupstream/dial.go
+++ b/upstream/pgupstream/dial.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"log/slog"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -23,6 +24,12 @@
 const (
 	defaultUser        = "lovageslip"
 	defaultDialTimeout = 5 * time.Second
+	// transactionRest is how long the server lets a transaction rest between
+	// two statements before it ends the session. An owner that is frozen
+	// cannot end what it has open, and the next owner's writes would wait
+	// for its locks; owners that run keep their transactions alive. It is
+	// the duration of an owner's lease.
+	transactionRest = 3 * time.Second
 )
 
 // Options configures a Dialer.
@@ -112,7 +119,11 @@
 func (c *Conn) startup(database string) error {
 	message := &pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": c.dialer.options.User, "database": database},
+		Parameters: map[string]string{
+			"user":                                c.dialer.options.User,
+			"database":                            database,
+			"idle_in_transaction_session_timeout": strconv.FormatInt(transactionRest.Milliseconds(), 10),
+		},
 	}
 	raw, err := message.Encode(nil)
 	if err == nil {
