Let late and less urgent work ask a busy upstream less often

A refused statement now waits longer the less urgent it is, the allowance may fall below one, and an upstream that lacked a position is left alone for up to 0.4 s.

--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -9,7 +9,9 @@
 	// allowanceStart is how many statements a proxy sends to an upstream at
 	// a time before it has learned how many the upstream takes.
 	allowanceStart = 4
-	allowanceMin   = 1
+	// allowanceMin is below one: where very many proxies share an upstream,
+	// one statement each is already too much.
+	allowanceMin = 0.25
 	// allowanceCut is the share that is left after a refusal. Proxies that
 	// share an upstream get to equal shares by small steps up and large
 	// ones down.
@@ -31,14 +33,25 @@
 
 func newAllowance() allowance { return allowance{limit: allowanceStart} }
 
-// allows reports whether one more statement may be sent.
-func (a *allowance) allows(inFlight int) bool { return float64(inFlight+1) <= a.limit }
+// allows reports whether one more statement may be sent. Below one, the limit
+// stretches the pause after a refusal.
+func (a *allowance) allows(inFlight int, at time.Time) bool {
+	if a.limit >= 1 || inFlight > 0 {
+		return float64(inFlight+1) <= max(a.limit, 1)
+	}
+	return at.Sub(a.cutAt) >= a.pause()
+}
+
+// pause is how long after a refusal the next statement may be sent.
+func (a *allowance) pause() time.Duration {
+	return time.Duration(float64(allowanceRest) / a.limit)
+}
 
 // succeeded raises the limit by one for each limit's worth of answers, if the
 // limit was reached.
 func (a *allowance) succeeded(inFlight int) {
 	if float64(inFlight+1) > a.limit {
-		a.limit += 1 / a.limit
+		a.limit += 1 / max(a.limit, 1)
 	}
 }
 
@@ -63,6 +76,21 @@
 	expected time.Duration
 }
 
+// persistence multiplies the pause before a refused statement is sent again.
+// Where refusals come from an upstream that many proxies share, this is what
+// lets urgent statements of one proxy pass those of the others.
+func (t ticket) persistence(at time.Time) time.Duration {
+	if !t.fresh(at) {
+		return latePersistence
+	}
+	return 1 + time.Duration(min(t.priority, maxPriority))
+}
+
+const (
+	latePersistence = 10
+	maxPriority     = 4
+)
+
 // freshShare of its target is how long an operation may have waited and still
 // be expected to end in time. The rest is for its run and, in a transaction,
 // for the statements that follow.
--- a/proxy/allowance_test.go
+++ b/proxy/allowance_test.go
@@ -83,3 +83,31 @@
 	assert.Assert(t, refused < 500, "%d refusals beside 2000 served", refused)
 	assert.Assert(t, a.limit >= allowanceMin)
 }
+
+// Pattern: far more proxies than an upstream has room for, each with work that
+// is late or less urgent. Guards against urgent work that loses to the mere
+// number of the others: where the upstream picks at random, what asks more often
+// is served more often.
+func TestUrgentWorkAsksMoreOften(t *testing.T) {
+	at := time.Unix(100, 0)
+	urgent := ticket{arrivedAt: at, target: time.Second, priority: 1}
+	plain := ticket{arrivedAt: at, target: time.Second, priority: 2}
+	late := ticket{arrivedAt: at.Add(-time.Second), target: time.Second, priority: 1}
+	assert.Assert(t, urgent.persistence(at) < plain.persistence(at))
+	assert.Assert(t, 3*plain.persistence(at) <= late.persistence(at))
+}
+
+// Pattern: a hundred proxies before five slots.
+func TestAllowanceBelowOneStretchesThePause(t *testing.T) {
+	a := newAllowance()
+	at := time.Unix(100, 0)
+	for range 40 {
+		at = at.Add(allowanceRest)
+		a.refused(at)
+	}
+	assert.Equal(t, a.limit, float64(allowanceMin))
+	assert.Assert(t, !a.allows(0, at.Add(allowanceRest)))
+	assert.Assert(t, a.allows(0, at.Add(allowanceRest*4)))
+	a.succeeded(0)
+	assert.Assert(t, a.allows(0, at), "one answer shows that there is room")
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -49,7 +49,7 @@
 const (
 	reasonBusy           fault.Reason = "upstream_busy"
 	reasonNoPrimary      fault.Reason = "no_primary"
-	reasonNoSample       fault.Reason = "no_fresh_position"
+	reasonNoUpstreamFits fault.Reason = "no_upstream_fits"
 	reasonReadFailed     fault.Reason = "read_failed"
 	reasonLostStatement  fault.Reason = "statement_lost"
 	reasonConnectionLost fault.Reason = "connection_lost"
@@ -66,6 +66,16 @@
 // jitter spreads a pause over half to one and a half of its mean.
 func jitter(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
 
+// busyWait is the pause before a statement that met a busy upstream is tried
+// again.
+func (s *Session) busyWait() time.Duration {
+	route, ok := s.proxy.View().Route(s.database)
+	if !ok {
+		return jitter(busyPause)
+	}
+	return jitter(busyPause * s.ticket(route).persistence(now()))
+}
+
 // repeat tries until an attempt is final or holdLimit has passed. The refusal
 // is true: no attempt that asks for another has taken effect.
 func (s *Session) repeat(ctx context.Context, st *Statement, try func() attempt) Reply {
@@ -129,9 +139,9 @@
 	switch a.Code {
 	case CodeBusy:
 		c.pool.busy(busyPause)
-		return retry(reasonBusy, jitter(busyPause))
+		return retry(reasonBusy, s.busyWait())
 	case CodeLagging:
-		c.pool.lagging(busyPause)
+		c.pool.lagging()
 		return retry(fault.ReasonStale, 0)
 	case CodeReadOnly:
 		return retry(fault.ReasonNotPrimary, jitter(noPrimaryPause))
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -24,8 +24,8 @@
 }
 
 // chooseForRead returns the upstream with the least expected wait. An upstream
-// that has just failed or lacks data is chosen only if excluded leaves no
-// other. An upstream that is leaving gets no read unless all are leaving: it
+// that has just failed is chosen only if excluded leaves no other, and one that
+// lacked data a moment ago is not. An upstream that is leaving gets no read unless all are leaving: it
 // may end at any time, and others that refuse now will soon have room.
 func (p *Proxy) chooseForRead(g *site.GroupView, excluded map[string]bool) (candidate, bool) {
 	var best candidate
@@ -40,7 +40,10 @@
 			continue
 		}
 		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
-		wait := p.expectedWait(c)
+		wait, fits := p.expectedWait(c)
+		if !fits {
+			continue
+		}
 		if best.pool == nil || wait < bestWait {
 			best, bestWait = c, wait
 		}
@@ -52,8 +55,13 @@
 // expected wait.
 const lastResort = 10 * time.Second
 
-func (p *Proxy) expectedWait(c candidate) time.Duration {
+// expectedWait reports false if the upstream lacked a position a moment ago, so
+// that asking it again would only cost time. A primary lacks none.
+func (p *Proxy) expectedWait(c candidate) (time.Duration, bool) {
 	e := c.pool.estimate()
+	if e.behind && !c.primary {
+		return 0, false
+	}
 	wait := e.wait
 	if c.primary {
 		wait = time.Duration(float64(wait) * primaryPenalty)
@@ -64,8 +72,5 @@
 	if e.backsOff {
 		wait += 2 * lastResort
 	}
-	if e.behind && !c.primary {
-		wait += lastResort
-	}
-	return wait
+	return wait, true
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -23,6 +23,11 @@
 	// after a failure. The first is a round trip between regions.
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 500 * time.Millisecond
+	// laggingMin and laggingMax bound how long an upstream that lacked a
+	// position is left alone. The first is the lag of a replica on a good
+	// day, the second a third of the ages that operators ask for.
+	laggingMin = 50 * time.Millisecond
+	laggingMax = 400 * time.Millisecond
 	// openTime is the time that opening a connection adds to a statement.
 	// Upstreams take 12 ms, and round trips of up to 40 ms come on top. It
 	// counts where connections are scarce; elsewhere they stay open.
@@ -48,6 +53,8 @@
 	dialing   int
 	allowance allowance
 	waiters   []*waiter
+	// grantDue is set while a timer is to look for the next waiter.
+	grantDue bool
 
 	serviceTime float64 // milliseconds
 	usedAt      time.Time
@@ -55,7 +62,10 @@
 	failures    int
 	failedSince time.Time
 	backoffTill time.Time
-	laggingTill time.Time
+	// laggingTill and laggingPause are until when and for how long the
+	// upstream is left alone because it lacked a position.
+	laggingTill  time.Time
+	laggingPause time.Duration
 }
 
 // waiter is a statement that waits for its turn.
@@ -126,14 +136,15 @@
 // statements: one that gives up waiting must not waste it.
 func (p *pool) grantLocked() {
 	at := bootclock.Now()
-	for len(p.waiters) > 0 && p.allowance.allows(p.inFlight) {
+	p.grantLaterLocked(at)
+	for len(p.waiters) > 0 && p.allowance.allows(p.inFlight, at) {
 		c := p.takeLocked()
 		if c == nil {
 			break
 		}
 		p.removeNextLocked(at).granted <- grant{conn: c}
 	}
-	room := int(p.allowance.limit) - p.inFlight
+	room := max(int(p.allowance.limit), 1) - p.inFlight
 	for p.dialing < min(len(p.waiters), room) && p.open < p.share.limit && !p.closed {
 		p.open++
 		p.dialing++
@@ -141,6 +152,20 @@
 	}
 }
 
+// grantLaterLocked looks again when the pause after a refusal has passed.
+func (p *pool) grantLaterLocked(at time.Time) {
+	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantDue || p.allowance.allows(0, at) {
+		return
+	}
+	p.grantDue = true
+	time.AfterFunc(p.allowance.pause()-at.Sub(p.allowance.cutAt), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.grantDue = false
+		p.grantLocked()
+	})
+}
+
 func (p *pool) removeNextLocked(at time.Time) *waiter {
 	tickets := make([]ticket, len(p.waiters))
 	for i, w := range p.waiters {
@@ -397,11 +422,24 @@
 	p.allowance.refused(at)
 }
 
-// lagging notes that the upstream lacked a position.
-func (p *pool) lagging(pause time.Duration) {
+// lagging notes that the upstream lacked a position. The longer it lacks
+// positions, the longer it is left alone.
+func (p *pool) lagging() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := bootclock.Now()
+	if at.Before(p.laggingTill) {
+		return
+	}
+	p.laggingPause = min(max(2*p.laggingPause, laggingMin), laggingMax)
+	p.laggingTill = at.Add(p.laggingPause)
+}
+
+// caughtUp notes that the upstream held a position that a read needed.
+func (p *pool) caughtUp() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.laggingTill = bootclock.Now().Add(pause)
+	p.laggingPause, p.laggingTill = 0, time.Time{}
 }
 
 // estimate is what the proxy expects of one more statement.
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -53,7 +53,7 @@
 	}
 	if !ok {
 		clear(plan.excluded)
-		a := retry(reasonNoSample, jitter(busyPause))
+		a := retry(reasonNoUpstreamFits, s.busyWait())
 		return target{}, &a
 	}
 	return target{candidate: c, after: floor}, nil
@@ -97,6 +97,9 @@
 	command.After = t.after
 	startedAt := now()
 	answers, err := exchange(c, time.Now().Add(patience(t.pool, route)), s.setUp(c, w), command)
+	if err == nil && answers[0].Code == CodeNone {
+		t.pool.caughtUp()
+	}
 	a := s.readAnswered(c, w, plan, startedAt, answers, err, 0)
 	a.after = t.after
 	return a
