--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -67,10 +67,11 @@
 func jitter(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
 
 // busyWait is the pause before a statement that met a busy upstream is tried
-// again.
-func (s *Session) busyWait() time.Duration {
+// again. Only a crowded upstream needs the order that longer pauses bring;
+// elsewhere they would leave its slots empty.
+func (s *Session) busyWait(pl *pool) time.Duration {
 	route, ok := s.proxy.View().Route(s.database)
-	if !ok {
+	if !ok || !pl.crowded() {
 		return jitter(busyPause)
 	}
 	return jitter(busyPause * s.ticket(route).persistence(now()))
@@ -139,9 +140,9 @@
 	switch a.Code {
 	case CodeBusy:
 		c.pool.busy(busyPause)
-		return retry(reasonBusy, s.busyWait())
+		return retry(reasonBusy, s.busyWait(c.pool))
 	case CodeLagging:
-		c.pool.lagging()
+		c.pool.lagging(a.Position)
 		return retry(fault.ReasonStale, 0)
 	case CodeReadOnly:
 		return retry(fault.ReasonNotPrimary, jitter(noPrimaryPause))
@@ -152,7 +153,7 @@
 
 // patience is how long a read is given at one upstream.
 func patience(pl *pool, route *pb.SiteRoute) time.Duration {
-	expected := patienceFactor * pl.estimate().wait
+	expected := patienceFactor * pl.estimate(upstream.Position{}).wait
 	return min(max(expected, patienceMin), timeout(route))
 }
 
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -6,6 +6,7 @@
 
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/site"
+	"lovageslip/upstream"
 )
 
 // primaryPenalty multiplies the expected wait at a primary for reads that a
@@ -25,9 +26,9 @@
 
 // chooseForRead returns the upstream with the least expected wait. An upstream
 // that has just failed is chosen only if excluded leaves no other, and one that
-// lacked data a moment ago is not. An upstream that is leaving gets no read unless all are leaving: it
+// is likely to lack the position is not. An upstream that is leaving gets no read unless all are leaving: it
 // may end at any time, and others that refuse now will soon have room.
-func (p *Proxy) chooseForRead(g *site.GroupView, excluded map[string]bool) (candidate, bool) {
+func (p *Proxy) chooseForRead(g *site.GroupView, after upstream.Position, excluded map[string]bool) (candidate, bool) {
 	var best candidate
 	var bestWait time.Duration
 	allLeaving := !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool { return !u.Leaving })
@@ -40,7 +41,7 @@
 			continue
 		}
 		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
-		wait, fits := p.expectedWait(c)
+		wait, fits := p.expectedWait(c, after)
 		if !fits {
 			continue
 		}
@@ -57,8 +58,8 @@
 
 // expectedWait reports false if the upstream lacked a position a moment ago, so
 // that asking it again would only cost time. A primary lacks none.
-func (p *Proxy) expectedWait(c candidate) (time.Duration, bool) {
-	e := c.pool.estimate()
+func (p *Proxy) expectedWait(c candidate, after upstream.Position) (time.Duration, bool) {
+	e := c.pool.estimate(after)
 	if e.behind && !c.primary {
 		return 0, false
 	}
--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"lovageslip/site"
+	"lovageslip/upstream"
 )
 
 // Guards against new work for an upstream that is leaving while the others
@@ -20,10 +21,26 @@
 			pl.busy(backoffMax)
 		}
 	}
-	c, ok := f.proxy.chooseForRead(view, map[string]bool{})
+	c, ok := f.proxy.chooseForRead(view, upstream.Position{}, map[string]bool{})
 	assert.Assert(t, ok)
 	assert.Assert(t, !c.upstream.Leaving, c.upstream.Id)
 
-	_, ok = f.proxy.chooseForRead(view, map[string]bool{"p1": true, "r2": true})
+	_, ok = f.proxy.chooseForRead(view, upstream.Position{}, map[string]bool{"p1": true, "r2": true})
 	assert.Assert(t, !ok, "the leaving upstream was chosen as the last one")
 }
+
+// Guards against a replica that is left alone by reads which it could serve,
+// because another read needed newer data than it has.
+func TestReplicaThatLagsServesOlderReads(t *testing.T) {
+	f := newFixture(t)
+	view, _ := f.proxy.View().Group("g")
+	at := func(offset upstream.Offset) upstream.Position { return upstream.Position{Term: 3, Offset: offset} }
+	for _, u := range f.parts.Upstreams[1:] {
+		pl, _ := f.proxy.pool(u)
+		pl.lagging(at(90))
+	}
+	c, _ := f.proxy.chooseForRead(view, at(95), map[string]bool{})
+	assert.Equal(t, c.upstream.Id, "p1")
+	c, _ = f.proxy.chooseForRead(view, at(90), map[string]bool{})
+	assert.Assert(t, c.upstream.Id != "p1")
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -9,6 +9,7 @@
 
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// day, the second a third of the ages that operators ask for.
 	laggingMin = 50 * time.Millisecond
 	laggingMax = 400 * time.Millisecond
+	// surplusIdle is how long a connection beside the first one stays open
+	// unused. Opening another costs the upstream 12 ms of a slot.
+	surplusIdle = 3 * time.Second
 	// openTime is the time that opening a connection adds to a statement.
 	// Upstreams take 12 ms, and round trips of up to 40 ms come on top. It
 	// counts where connections are scarce; elsewhere they stay open.
@@ -40,12 +44,12 @@
 	dialer Dialer
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	upstream *pb.SiteUpstream
-	share    share
-	open     int
-	idle     []*conn // most recently used last
-	closed   bool
+	mu     sync.Mutex
+	record *pb.SiteUpstream
+	share  share
+	open   int
+	idle   []*conn // most recently used last
+	closed bool
 	// inFlight counts the statements that are at the upstream, or about to
 	// be sent to it.
 	inFlight int
@@ -62,8 +66,10 @@
 	failures    int
 	failedSince time.Time
 	backoffTill time.Time
-	// laggingTill and laggingPause are until when and for how long the
-	// upstream is left alone because it lacked a position.
+	// held is what the upstream held when it last lacked a position;
+	// laggingTill and laggingPause are until when and for how long it is
+	// not asked for more.
+	held         upstream.Position
 	laggingTill  time.Time
 	laggingPause time.Duration
 }
@@ -96,7 +102,7 @@
 func newPool(dialer Dialer, u *pb.SiteUpstream, part share) *pool {
 	return &pool{
 		dialer:      dialer,
-		upstream:    u,
+		record:      u,
 		share:       part,
 		allowance:   newAllowance(),
 		serviceTime: float64(firstServiceTime / time.Millisecond),
@@ -106,14 +112,14 @@
 func (p *pool) update(u *pb.SiteUpstream, part share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upstream, p.share = u, part
+	p.record, p.share = u, part
 	p.grantLocked()
 }
 
 func (p *pool) id() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.upstream.Id
+	return p.record.Id
 }
 
 // takeLocked returns an idle connection, counted as in flight, or nil.
@@ -264,7 +270,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.mu.Lock()
-	u := p.upstream
+	u := p.record
 	p.mu.Unlock()
 	dialed, err := p.dialer.Dial(ctx, u)
 	p.mu.Lock()
@@ -372,13 +378,19 @@
 	p.discardLocked(c)
 }
 
-// closeIdle closes connections that were not used for a while.
+// closeIdle closes connections that were not used for a while. One stays open
+// for longer than the others: what many proxies hold in reserve is missing
+// after a loss of power, until the upstream has noticed the loss.
 func (p *pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if bootclock.Since(c.idleAt) < p.share.idle {
+	for i, c := range p.idle {
+		limit := min(p.share.idle, surplusIdle)
+		if i == len(p.idle)-1 {
+			limit = p.share.idle
+		}
+		if bootclock.Since(c.idleAt) < limit {
 			kept = append(kept, c)
 			continue
 		}
@@ -399,6 +411,14 @@
 	p.waiters = nil
 }
 
+// crowded reports that even one statement of each proxy is too much for the
+// upstream.
+func (p *pool) crowded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.allowance.limit < 1
+}
+
 // succeeded notes an answer and, if it is that of a statement, its time.
 func (p *pool) succeeded(took time.Duration) {
 	p.mu.Lock()
@@ -422,11 +442,12 @@
 	p.allowance.refused(at)
 }
 
-// lagging notes that the upstream lacked a position. The longer it lacks
-// positions, the longer it is left alone.
-func (p *pool) lagging() {
+// lagging notes that the upstream lacked a position and what it held instead.
+// The longer it lacks positions, the longer it is not asked for more than that.
+func (p *pool) lagging(held upstream.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.held = held
 	at := bootclock.Now()
 	if at.Before(p.laggingTill) {
 		return
@@ -446,12 +467,13 @@
 type estimate struct {
 	// wait is the expected time until the answer.
 	wait time.Duration
-	// backsOff is set after a failure or a refusal, behind after the
-	// upstream lacked a position.
+	// backsOff is set after a failure or a refusal, behind if the upstream
+	// is likely to lack the position that the statement needs.
 	backsOff, behind bool
 }
 
-func (p *pool) estimate() estimate {
+// estimate is for a statement that needs a position; zero for none.
+func (p *pool) estimate(after upstream.Position) estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := bootclock.Now()
@@ -465,7 +487,7 @@
 	return estimate{
 		wait:     wait,
 		backsOff: at.Before(p.backoffTill),
-		behind:   at.Before(p.laggingTill),
+		behind:   at.Before(p.laggingTill) && p.held.Before(after),
 	}
 }
 
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -59,3 +59,26 @@
 	assert.Equal(t, len(pl.idle), 0)
 	assert.Assert(t, pl.unreachableFor() > 0)
 }
+
+// Guards against connections in reserve that use up an upstream's limit: after a
+// loss of power it counts the old ones for seconds beside the new ones.
+func TestSurplusConnectionsAreClosedSoon(t *testing.T) {
+	f := newFixture(t)
+	pl, _ := f.proxy.pool(f.parts.Upstreams[0])
+	var conns []*conn
+	for range 4 {
+		c, err := pl.acquire(context.Background(), urgent())
+		assert.NilError(t, err)
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		pl.release(c)
+		c.idleAt = now().Add(-surplusIdle)
+	}
+	pl.closeIdle()
+	assert.Equal(t, len(pl.idle), 1)
+	assert.Equal(t, pl.open, 1)
+	pl.idle[0].idleAt = now().Add(-idleLimit)
+	pl.closeIdle()
+	assert.Equal(t, pl.open, 0)
+}
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -46,14 +46,14 @@
 		return target{}, &a
 	}
 	floor, known := s.floor(ctx, route)
-	c, ok := s.proxy.chooseForRead(view, plan.excluded)
+	c, ok := s.proxy.chooseForRead(view, floor, plan.excluded)
 	if !known {
 		// Only the primary can prove that its data are fresh enough.
 		c, ok = s.primaryCandidate(route.Group)
 	}
 	if !ok {
 		clear(plan.excluded)
-		a := retry(reasonNoUpstreamFits, s.busyWait())
+		a := retry(reasonNoUpstreamFits, jitter(busyPause))
 		return target{}, &a
 	}
 	return target{candidate: c, after: floor}, nil
@@ -134,7 +134,7 @@
 	switch {
 	case a.Code.NotRun():
 		plan.excluded[c.pool.id()] = true
-		return s.notRun(c, Answer{Code: a.Code, State: last.State})
+		return s.notRun(c, Answer{Code: a.Code, State: last.State, Position: a.Position})
 	case a.Code != CodeNone && plan.reruns < maxReruns:
 		plan.reruns++
 		plan.excluded[c.pool.id()] = true
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -173,7 +173,7 @@
 		return retry(reasonBusy, jitter(busyPause))
 	case a.Code.NotRun() && !tx.ran:
 		s.rollBack(tx)
-		return retry(fault.Reason(a.Code.String()), s.busyWait())
+		return retry(fault.Reason(a.Code.String()), s.busyWait(c.pool))
 	case a.Code.NotRun():
 		s.failTransaction()
 		return final(aborted(fault.Reason(a.Code.String())))
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -17,6 +17,10 @@
 	// KeepAliveInterval is how often a control host that hears from the
 	// leader sends an update, changed or not.
 	KeepAliveInterval = 700 * time.Millisecond
+	// firstUpdateTimeout bounds the wait for the first update. It is longer
+	// than an election, and shorter than the silence after which a proxy
+	// turns away by itself.
+	firstUpdateTimeout = 1200 * time.Millisecond
 )
 
 // watcher is one Watch stream.
@@ -39,8 +43,7 @@
 		s.mu.Unlock()
 	}()
 	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
-	// What is sent first includes all that was committed before the call.
-	if _, err := s.o.Consensus.ReadIndex(ctx); err != nil {
+	if err := s.readCommitted(ctx); err != nil {
 		return unavailable(err)
 	}
 	for {
@@ -57,6 +60,19 @@
 	}
 }
 
+// readCommitted waits until this host's state includes all that was committed
+// before the call. A host that cannot do so soon, for example because it has
+// lost its disk, must not keep a proxy from asking another one.
+func (s *Server) readCommitted(ctx context.Context) error {
+	if len(s.o.Consensus.Members()) == 0 {
+		return noLeader()
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstUpdateTimeout)
+	defer cancel()
+	_, err := s.o.Consensus.ReadIndex(ctx)
+	return err
+}
+
 func waitForChange(ctx context.Context, changed <-chan struct{}) bool {
 	if !sleep(ctx, watchInterval) {
 		return false
