Notice a dark primary sooner

A proxy now checks an upstream that has work and answers nothing for 0.3 s, a primary that does not answer is not asked to step down, and the leader probes by opening a transaction, which needs no slot. TestDarkUpstreamIsNoticedBeforeItsStatementsEnd.

--- a/cmd/lovageslip-site/main.go
+++ b/cmd/lovageslip-site/main.go
@@ -44,6 +44,8 @@
 func main() {
 	out := logging.NewBounded(os.Stdout)
 	log := logging.New(out, slog.LevelInfo, logging.FormatJSON)
+	// Libraries that use the standard logger write through it as well.
+	slog.SetDefault(log)
 	parsed := kong.Parse(&command{}, kong.Name("lovageslip-site"),
 		kong.Description("Run a host of a site. LOVAGESLIP_SETTINGS names its settings file."),
 		kong.Bind(log), kong.UsageOnError())
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -52,7 +52,7 @@
 	defer g.mu.Unlock()
 	u := g.upstreams[record.Id]
 	if u == nil || u.dead {
-		return nil, &fault.IO{Op: "dial", Err: &DialRefused{Upstream: record.Id}}
+		return nil, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
 	}
 	u.open++
 	u.dials++
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -63,6 +63,7 @@
 	serviceTime float64 // milliseconds
 	usedAt      time.Time
 	answeredAt  time.Time
+	checking    bool
 	failures    int
 	failedSince time.Time
 	backoffTill time.Time
@@ -491,6 +492,50 @@
 	}
 }
 
+const (
+	// stalledAfter is how long an upstream that has work may answer nothing
+	// before it is checked. Few statements take as long, and the check
+	// costs the upstream no slot but that of the connection.
+	stalledAfter = 300 * time.Millisecond
+	checkTimeout = 300 * time.Millisecond
+)
+
+// stalled reports whether the upstream should be checked now, and notes that it
+// will be.
+func (p *pool) stalled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := bootclock.Now()
+	if p.inFlight == 0 || p.checking || at.Sub(p.answeredAt) < stalledAfter {
+		return false
+	}
+	p.checking = true
+	return true
+}
+
+// check finds out whether the upstream answers on a new connection, so that one
+// that went dark is noticed before the statements that wait for it end.
+func (p *pool) check(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	p.mu.Lock()
+	u := p.record
+	p.mu.Unlock()
+	opened, err := p.dialer.Dial(ctx, u)
+	if err == nil {
+		// It has served its purpose.
+		_ = opened.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checking = false
+	if err != nil {
+		p.dialFailedLocked(err)
+		return
+	}
+	p.answeredAt = bootclock.Now()
+}
+
 // unreachableFor returns how long nothing but failures came from the upstream.
 func (p *pool) unreachableFor() time.Duration {
 	p.mu.Lock()
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -82,3 +82,20 @@
 	pl.closeIdle()
 	assert.Equal(t, pl.open, 0)
 }
+
+// Guards against a primary that went dark and is missed only when the first
+// statement's time is over: half of the gap of a change of primary went by.
+func TestDarkUpstreamIsNoticedBeforeItsStatementsEnd(t *testing.T) {
+	f := newFixture(t)
+	pl, _ := f.proxy.pool(f.parts.Upstreams[0])
+	f.group.set("p1", func(u *fakeUpstream) { u.gate = make(chan struct{}) })
+	s := f.open("latest")
+	go s.Do(context.Background(), write("w"))
+	for deadline := time.Now().Add(10 * time.Second); !pl.stalled(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "never checked")
+	}
+	f.group.set("p1", func(u *fakeUpstream) { u.dead = true })
+	pl.check(context.Background())
+	time.Sleep(time.Millisecond)
+	assert.Assert(t, pl.unreachableFor() > 0)
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -196,6 +196,11 @@
 		case <-ctx.Done():
 			return
 		}
+		for _, g := range p.View().Groups() {
+			if pl, _, ok := p.primaryPool(g.Name); ok && pl.stalled() {
+				tasks.Go(func() { pl.check(ctx) })
+			}
+		}
 		if due := p.samplesDue(); len(due) > 0 {
 			tasks.Go(func() { p.refresh(ctx, due) })
 		}
--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -59,7 +59,7 @@
 func (f *fakeUpstreams) Position(ctx context.Context, u *pb.SiteUpstream) (upstream.Position, error) {
 	s, err := f.Status(ctx, u)
 	if err == nil && s.Role != upstream.RolePrimary {
-		err = &NoPrimary{Group: u.Group}
+		err = &NotLeading{ID: u.Id}
 	}
 	return s.Received, err
 }
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -15,9 +15,9 @@
 
 const (
 	groupInterval = 100 * time.Millisecond
-	// probeInterval is how often the status of a primary is asked for while
-	// nothing points to a failure. A probe takes one of its slots.
-	probeInterval = 500 * time.Millisecond
+	// probeInterval is how often a primary is probed while nothing points to
+	// a failure. The probe needs no slot.
+	probeInterval = 300 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
 	// primaryLostAfter is how long a primary answers neither this host nor
 	// most proxies before it is replaced. It covers a lost packet that is
@@ -137,9 +137,10 @@
 		return
 	}
 	w.probedAt = now()
-	status, err := w.probe(ctx, primary)
+	err := w.probeLead(ctx, primary)
 	var busy *BusyUpstream
-	if err == nil && status.Role != upstream.RolePrimary {
+	var notLeading *NotLeading
+	if errors.As(err, &notLeading) {
 		w.findPrimary(ctx, append(others, primary), g)
 		return
 	}
@@ -206,6 +207,14 @@
 	return e
 }
 
+// probeLead returns nil if the upstream leads.
+func (w *groupWatch) probeLead(ctx context.Context, u *pb.SiteUpstream) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := w.s.o.Prober.Position(ctx, u)
+	return err
+}
+
 func (w *groupWatch) probe(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -278,7 +287,7 @@
 		return
 	}
 	w.orderedAt = now()
-	if primary != nil {
+	if primary != nil && w.lostSince.IsZero() {
 		w.settle(ctx, primary, best.upstream)
 	}
 	w.give(ctx, best.upstream.Id, result.Index)
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -38,8 +38,8 @@
 // answered that it has no free slot.
 type Prober interface {
 	Status(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error)
-	// Position returns what the upstream holds if it leads, and an error
-	// if it does not.
+	// Position returns what the upstream holds if it leads, and *NotLeading
+	// if it does not. It needs no slot.
 	Position(ctx context.Context, u *pb.SiteUpstream) (upstream.Position, error)
 	// StepDown makes a primary of a lower term a replica.
 	StepDown(ctx context.Context, u *pb.SiteUpstream, term upstream.Term) (UpstreamStatus, error)
@@ -50,6 +50,11 @@
 
 func (e *BusyUpstream) Error() string { return "upstream " + e.ID + " is busy" }
 
+// NotLeading reports an upstream that answered that it does not lead.
+type NotLeading struct{ ID string }
+
+func (e *NotLeading) Error() string { return "upstream " + e.ID + " does not lead" }
+
 // Promoter orders a change of primary. A call without an answer may be carried
 // out later; the token then decides whether it still counts. It returns
 // *PromotionRefused if the order was refused.
