--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -536,6 +536,13 @@
 	p.answeredAt = bootclock.Now()
 }
 
+// sinceAnswer returns the time since the upstream last answered.
+func (p *pool) sinceAnswer() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bootclock.Since(p.answeredAt)
+}
+
 // unreachableFor returns how long nothing but failures came from the upstream.
 func (p *pool) unreachableFor() time.Duration {
 	p.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -33,6 +33,9 @@
 	// complainAfter is how long an upstream only fails before the proxy
 	// reports it.
 	complainAfter = 150 * time.Millisecond
+	// untriedAfter is how long ago a primary's last answer may be for the
+	// proxy to count as one that reaches it.
+	untriedAfter = time.Second
 )
 
 // Options configure a Proxy.
@@ -348,17 +351,22 @@
 	}
 }
 
-// Unreachable lists the primaries that this proxy cannot reach.
-func (p *Proxy) Unreachable() []string {
-	var ids []string
+// Reach lists the primaries that this proxy cannot reach, and those that it has
+// had nothing to ask lately, so that it doesn't know.
+func (p *Proxy) Reach() (unreachable, untried []string) {
 	for _, g := range p.View().Groups() {
 		pl, u, ok := p.primaryPool(g.Name)
-		if ok && pl.unreachableFor() > complainAfter {
-			ids = append(ids, u.Id)
+		switch {
+		case !ok:
+		case pl.unreachableFor() > complainAfter:
+			unreachable = append(unreachable, u.Id)
+		case pl.sinceAnswer() > untriedAfter:
+			untried = append(untried, u.Id)
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(unreachable)
+	slices.Sort(untried)
+	return unreachable, untried
 }
 
 // beyond returns the later of two positions.
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -41,7 +41,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sum := &pb.ReportRequest{Reporter: s.o.Name, Relayed: true}
-	complaints := make(map[string]uint32)
+	complaints, untried := make(map[string]uint32), make(map[string]uint32)
 	for name, r := range s.reports {
 		age := now().Sub(r.at)
 		if age > reportLifetime {
@@ -57,27 +57,42 @@
 				complaints[c.Upstream] += c.Proxies
 			}
 		}
+		for _, c := range r.message.Untried {
+			untried[c.Upstream] += c.Proxies
+		}
 	}
-	for id, n := range complaints {
-		sum.Complaints = append(sum.Complaints, &pb.Complaint{Upstream: id, Proxies: n})
-	}
-	slices.SortFunc(sum.Complaints, func(a, b *pb.Complaint) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	sum.Complaints, sum.Untried = listed(complaints), listed(untried)
 	return sum
 }
 
-// complaints returns how many proxies cannot reach an upstream, and how many
-// there are. Proxies that were counted and have fallen silent are among them:
-// they may be cut off together with the upstream and still be served by it.
+// listed returns counts by upstream in a fixed order.
+func listed(counts map[string]uint32) []*pb.Complaint {
+	var list []*pb.Complaint
+	for id, n := range counts {
+		list = append(list, &pb.Complaint{Upstream: id, Proxies: n})
+	}
+	slices.SortFunc(list, func(a, b *pb.Complaint) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
+func countFor(list []*pb.Complaint, id string) uint32 {
+	for _, c := range list {
+		if c.Upstream == id {
+			return c.Proxies
+		}
+	}
+	return 0
+}
+
+// complaints returns how many proxies cannot reach an upstream, and how many may
+// be served by it. Proxies that were counted and have fallen silent are among
+// the latter: they may be cut off together with the upstream. Those that have
+// had nothing to ask it are not.
 func (s *Server) complaints(id string) (unreachable, proxies uint32) {
 	state, _, _ := s.o.State.Current()
 	sum := s.gatherReports(true)
 	proxies = max(sum.Proxies, state.Proxies)
-	for _, c := range sum.Complaints {
-		if c.Upstream == id {
-			return c.Proxies, proxies
-		}
-	}
-	return 0, proxies
+	return countFor(sum.Complaints, id), proxies - min(countFor(sum.Untried, id), proxies)
 }
 
 // runRelay passes the sum of the reports on to the leader.
--- a/sitecontrol/report_test.go
+++ b/sitecontrol/report_test.go
@@ -29,3 +29,20 @@
 	assert.Equal(t, unreachable, uint32(3))
 	assert.Equal(t, proxies, uint32(18))
 }
+
+// Guards against a lost primary that is kept because most proxies have nothing
+// to ask it.
+func TestProxiesWithoutWorkDoNotVouchForAPrimary(t *testing.T) {
+	s := New(Options{Name: "c1", State: site.NewState()})
+	s.reports["a"] = report{at: now(), message: &pb.ReportRequest{
+		Reporter: "a", Proxies: 1, Complaints: []*pb.Complaint{{Upstream: "p", Proxies: 1}},
+	}}
+	for _, name := range []string{"b", "c"} {
+		s.reports[name] = report{at: now(), message: &pb.ReportRequest{
+			Reporter: name, Proxies: 1, Untried: []*pb.Complaint{{Upstream: "p", Proxies: 1}},
+		}}
+	}
+	unreachable, proxies := s.complaints("p")
+	assert.Equal(t, unreachable, uint32(1))
+	assert.Equal(t, proxies, uint32(1))
+}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -56,8 +56,9 @@
 type Proxy interface {
 	// SetView is called with each newer view, from one goroutine.
 	SetView(*site.View)
-	// Unreachable lists the primaries that the proxy cannot reach.
-	Unreachable() []string
+	// Reach lists the primaries that the proxy cannot reach, and those that
+	// it has had nothing to ask lately.
+	Reach() (unreachable, untried []string)
 }
 
 // Watch is safe for concurrent use.
@@ -230,7 +231,7 @@
 	var last []string
 	var sentAt time.Time
 	for sleep(ctx, reportTick) {
-		unreachable := p.Unreachable()
+		unreachable, untried := p.Reach()
 		pause := sitecontrol.ReportInterval
 		if len(unreachable) > 0 {
 			pause = sitecontrol.ComplaintInterval
@@ -241,13 +242,13 @@
 		if !slices.Equal(unreachable, last) {
 			w.log.Info("primaries that cannot be reached", "upstreams", unreachable)
 		}
-		if w.report(ctx, unreachable) {
+		if w.report(ctx, unreachable, untried) {
 			last, sentAt = unreachable, bootclock.Now()
 		}
 	}
 }
 
-func (w *Watch) report(ctx context.Context, unreachable []string) bool {
+func (w *Watch) report(ctx context.Context, unreachable, untried []string) bool {
 	w.mu.Lock()
 	address := w.current
 	w.mu.Unlock()
@@ -255,9 +256,8 @@
 		return false
 	}
 	request := &pb.ReportRequest{Reporter: w.o.Name, Proxies: 1}
-	for _, id := range unreachable {
-		request.Complaints = append(request.Complaints, &pb.Complaint{Upstream: id, Proxies: 1})
-	}
+	request.Complaints = complaints(unreachable)
+	request.Untried = complaints(untried)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if _, err := w.client(address).Report(ctx, connect.NewRequest(request)); err != nil {
@@ -267,6 +267,14 @@
 	return true
 }
 
+func complaints(ids []string) []*pb.Complaint {
+	var list []*pb.Complaint
+	for _, id := range ids {
+		list = append(list, &pb.Complaint{Upstream: id, Proxies: 1})
+	}
+	return list
+}
+
 // Positions returns what the primaries of groups held, as the watched control
 // host knows it. The age of each is counted from the begin of the call, so that
 // it is no less than the true one. Errors are *fault.IO and *fault.NotRun.
