Try all control hosts before one that failed; end watches at once without a leader

Ruled out: the log, which had the new version on all hosts of the majority 10 ms after its acknowledgement. A proxy passes over a host for 10 s after a failure; a host without a leader for a second turns proxies away at once, and ends its watches within 0.1 s.

--- a/proxy/consistency_test.go
+++ b/proxy/consistency_test.go
@@ -47,6 +47,9 @@
 func TestSessionReadsItsOwnWrites(t *testing.T) {
 	f := newFixture(t)
 	s := f.open("own")
+	// Other sessions may be served by what was known before the commit.
+	f.proxy.group("g").positions.add(upstream.Position{Term: 3, Offset: 100}, now())
+	time.Sleep(2 * sampleDistance)
 	served(t, s, write("w"))
 	assert.Equal(t, served(t, s, read("r")), "COMPLETE p1", "no replica holds the commit yet")
 	f.group.replicate()
--- a/proxy/positions.go
+++ b/proxy/positions.go
@@ -76,13 +76,3 @@
 	}
 	return bootclock.Since(p.samples[len(p.samples)-1].askedAt)
 }
-
-// newestTerm returns the newest term that a primary has shown.
-func (p *positions) newestTerm() upstream.Term {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.samples) == 0 {
-		return 0
-	}
-	return p.samples[len(p.samples)-1].position.Term
-}
--- /dev/null
+++ b/site/state_test.go
@@ -0,0 +1,130 @@
+package site
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// log feeds a state as the consensus would.
+type log struct {
+	t     *testing.T
+	state *State
+	index uint64
+}
+
+func newLog(t *testing.T) *log { return &log{t: t, state: NewState()} }
+
+// apply logs a command and reports whether it changed the state.
+func (l *log) apply(c *pb.SiteCommand) bool {
+	l.t.Helper()
+	l.index++
+	command, err := proto.Marshal(c)
+	assert.NilError(l.t, err)
+	var result pb.SiteCommandResult
+	assert.NilError(l.t, proto.Unmarshal(l.state.Apply(l.index, command), &result))
+	assert.Equal(l.t, result.Index, l.index)
+	return result.Changed
+}
+
+func (l *log) store(version uint64, document string) bool {
+	config := &pb.SiteConfig{Version: version}
+	return l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_StoreConfig{
+		StoreConfig: &pb.StoreConfig{Config: config, Document: []byte(document)},
+	}})
+}
+
+func (l *log) record(id, address string, born int64, sequence uint64) bool {
+	return l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_RecordUpstream{
+		RecordUpstream: &pb.SiteUpstream{Id: id, Address: address, BornMs: born, Sequence: sequence},
+	}})
+}
+
+func (l *log) order(upstream string, previous uint64) bool {
+	return l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{
+		OrderPrimary: &pb.OrderPrimary{Group: "g", Upstream: upstream, PreviousOrder: previous},
+	}})
+}
+
+func (l *log) current() *pb.SiteState {
+	state, _, _ := l.state.Current()
+	return state
+}
+
+// Guards against two operators whose changes race: the later entry must not
+// take the place of a higher version, nor other content that of the same one.
+func TestOnlyAHigherVersionIsStored(t *testing.T) {
+	l := newLog(t)
+	assert.Assert(t, l.store(0, "zero"), "the first configuration may have version 0")
+	assert.Assert(t, l.store(7, "seven"))
+	assert.Assert(t, !l.store(5, "five"))
+	assert.Assert(t, !l.store(7, "other seven"))
+	assert.Equal(t, string(l.current().Document), "seven")
+}
+
+// Guards against an announcement that was held up and names a process that is
+// gone, at its own id or at an address that is used again.
+func TestLateAnnouncementsAreNotRecorded(t *testing.T) {
+	l := newLog(t)
+	assert.Assert(t, l.record("a", "10.0.0.1:1", 100, 5))
+	assert.Assert(t, !l.record("a", "10.0.0.1:1", 100, 4))
+	assert.Assert(t, !l.record("a", "10.0.0.1:1", 90, 9))
+	assert.Assert(t, l.record("b", "10.0.0.1:1", 200, 1), "a later process at the address")
+	assert.Assert(t, Upstream(l.current(), "a") == nil)
+	assert.Assert(t, !l.record("a", "10.0.0.1:1", 100, 6), "the earlier process is gone")
+	assert.Assert(t, l.record("b", "10.0.0.1:1", 300, 1), "the same id again, with a new start")
+}
+
+// Guards against an upstream that is removed by the late farewell of the
+// process before it.
+func TestOnlyTheNamedProcessIsRemoved(t *testing.T) {
+	l := newLog(t)
+	l.record("a", "10.0.0.1:1", 200, 1)
+	remove := func(born int64) bool {
+		return l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_RemoveUpstream{
+			RemoveUpstream: &pb.RemoveSiteUpstream{Id: "a", BornMs: born},
+		}})
+	}
+	assert.Assert(t, !remove(100))
+	assert.Assert(t, remove(200))
+}
+
+// Guards against two leaders that order different upstreams from the same state.
+func TestOrdersFollowEachOther(t *testing.T) {
+	l := newLog(t)
+	assert.Assert(t, l.order("a", 0))
+	first := Group(l.current(), "g").Order
+	assert.Assert(t, !l.order("b", 0), "an order from an old state")
+	assert.Assert(t, l.order("b", first))
+	second := Group(l.current(), "g")
+	assert.Assert(t, second.Order > first && second.OrderOpen && second.Ordered == "b")
+	l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_RecordPrimary{RecordPrimary: &pb.RecordPrimary{Group: "g", Upstream: "b"}}})
+	done := Group(l.current(), "g")
+	assert.Assert(t, done.Primary == "b" && !done.OrderOpen)
+}
+
+// Guards against state that a snapshot leaves out, and against states handed out
+// that change later.
+func TestSnapshotHoldsTheWholeState(t *testing.T) {
+	l := newLog(t)
+	l.store(7, "seven")
+	l.record("a", "10.0.0.1:1", 100, 5)
+	l.order("a", 0)
+	before := proto.Clone(l.current()).(*pb.SiteState)
+	handedOut := l.current()
+	data, err := l.state.Snapshot()
+	assert.NilError(t, err)
+	l.store(9, "nine")
+	l.record("b", "10.0.0.2:1", 100, 1)
+	assert.Assert(t, proto.Equal(handedOut, before))
+	restored := NewState()
+	assert.NilError(t, restored.Restore(data))
+	state, index, _ := restored.Current()
+	assert.Assert(t, proto.Equal(state, before))
+	assert.Equal(t, index, uint64(3))
+	assert.Assert(t, restored.Restore([]byte{0xff}) != nil)
+	assert.Assert(t, l.state.Apply(99, []byte{0xff}) != nil, "a broken command changes nothing")
+}
--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -33,6 +33,7 @@
 	for ; ctx.Err() == nil; sleep(ctx, membershipInterval) {
 		if _, _, ok := s.o.Consensus.Leader(); ok {
 			lastLeader = now()
+			s.noteLeader()
 			continue
 		}
 		if now().Sub(lastLeader) >= joinAfter {
@@ -41,6 +42,20 @@
 	}
 }
 
+func (s *Server) noteLeader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaderAt = now()
+}
+
+// leaderlessFor returns how long this host has known no leader, or has run
+// without one.
+func (s *Server) leaderlessFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now().Sub(s.leaderAt)
+}
+
 func (s *Server) join(ctx context.Context) {
 	for _, address := range s.peerAddresses() {
 		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -106,8 +106,9 @@
 	reports map[string]report
 	// seen is when and with what each upstream last announced itself to
 	// this host as the leader.
-	seen     map[string]announcement
-	watchers map[*watcher]struct{}
+	seen map[string]announcement
+	// leaderAt is when a leader was last known, or when this host started.
+	leaderAt time.Time
 	// sampled is what the primaries of groups held.
 	sampled map[string]*sampledGroup
 }
@@ -133,8 +134,8 @@
 		clients:  make(map[string]lovageslipv1connect.SiteServiceClient),
 		reports:  make(map[string]report),
 		seen:     make(map[string]announcement),
-		watchers: make(map[*watcher]struct{}),
 		sampled:  make(map[string]*sampledGroup),
+		leaderAt: now(),
 	}
 }
 
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -21,9 +21,13 @@
 	// than an election, and shorter than the silence after which a proxy
 	// turns away by itself.
 	firstUpdateTimeout = 1200 * time.Millisecond
+	// leaderlessLimit is how long a host may be without a leader before it
+	// turns proxies away at once: an election would be over, so that the
+	// host is likely cut off from the others.
+	leaderlessLimit = time.Second
 )
 
-// watcher is one Watch stream.
+// watcher is what one Watch stream has been sent.
 type watcher struct {
 	config  *pb.SiteConfig
 	state   *pb.SiteState
@@ -34,28 +38,17 @@
 // leader, so that the proxy turns to another control host.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchSiteRequest], stream *connect.ServerStream[pb.SiteUpdate]) error {
 	w := &watcher{}
-	s.mu.Lock()
-	s.watchers[w] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.watchers, w)
-		s.mu.Unlock()
-	}()
 	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
 	if err := s.readCommitted(ctx); err != nil {
 		return unavailable(err)
 	}
 	for {
-		if _, _, ok := s.o.Consensus.Leader(); !ok {
-			return unavailable(noLeader())
-		}
 		state, index, changed := s.o.State.Current()
 		if err := stream.Send(w.update(state, index, s.memberAddresses())); err != nil {
 			return err
 		}
-		if !waitForChange(ctx, changed) {
-			return nil
+		if err := s.waitForChange(ctx, changed); err != nil {
+			return unavailable(err)
 		}
 	}
 }
@@ -64,7 +57,7 @@
 // before the call. A host that cannot do so soon, for example because it has
 // lost its disk, must not keep a proxy from asking another one.
 func (s *Server) readCommitted(ctx context.Context) error {
-	if len(s.o.Consensus.Members()) == 0 {
+	if len(s.o.Consensus.Members()) == 0 || s.leaderlessFor() > leaderlessLimit {
 		return noLeader()
 	}
 	ctx, cancel := context.WithTimeout(ctx, firstUpdateTimeout)
@@ -73,19 +66,23 @@
 	return err
 }
 
-func waitForChange(ctx context.Context, changed <-chan struct{}) bool {
-	if !sleep(ctx, watchInterval) {
-		return false
-	}
-	timer := time.NewTimer(KeepAliveInterval - watchInterval)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
+// waitForChange returns when the next update is due, and an error as soon as
+// this host hears from no leader or ctx ends.
+func (s *Server) waitForChange(ctx context.Context, changed <-chan struct{}) error {
+	for waited := time.Duration(0); waited < KeepAliveInterval; waited += watchInterval {
+		if !sleep(ctx, watchInterval) {
+			return ctx.Err()
+		}
+		if _, _, ok := s.o.Consensus.Leader(); !ok {
+			return noLeader()
+		}
+		select {
+		case <-changed:
+			return nil
+		default:
+		}
 	}
-	return true
+	return nil
 }
 
 // update returns what has changed since the previous update.
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -90,18 +90,17 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { w.runReports(ctx, p) })
-	failed := ""
+	failedAt := make(map[string]time.Time)
 	for ctx.Err() == nil {
-		address, ok := w.nearest(ctx, failed)
+		address, ok := w.nearest(ctx, failedAt)
 		if !ok {
-			failed = ""
 			sleep(ctx, retryPause)
 			continue
 		}
 		err := w.watch(ctx, address, p)
 		w.log.Warn("control host lost", "address", address, "index", w.index(), "error", err)
 		w.metrics.Counter("control_hosts_lost_total").Inc(1)
-		failed = address
+		failedAt[address] = bootclock.Now()
 		sleep(ctx, retryPause/4)
 	}
 }
@@ -127,20 +126,52 @@
 	return slices.Compact(addresses)
 }
 
-// nearest returns the control host that accepts a connection first, other than
-// the one that has just failed.
-func (w *Watch) nearest(ctx context.Context, failed string) (string, bool) {
+// nearest returns the control host that accepts a connection first, of those
+// that have not failed lately; if all have, the one that failed first.
+func (w *Watch) nearest(ctx context.Context, failedAt map[string]time.Time) (string, bool) {
+	candidates, failed := byFailure(w.candidates(), failedAt, bootclock.Now())
+	if address, ok := first(ctx, candidates); ok {
+		return address, true
+	}
+	for _, address := range failed {
+		if found, ok := first(ctx, []string{address}); ok {
+			return found, true
+		}
+	}
+	return "", false
+}
+
+// forgetFailureAfter is how long a control host that failed is passed over. It
+// outlasts the time in which all others can be tried, so that a proxy doesn't go
+// back and forth between two hosts that are cut off together.
+const forgetFailureAfter = 10 * time.Second
+
+// byFailure splits addresses into those that have not failed lately and the
+// others, the longest ago first.
+func byFailure(addresses []string, failedAt map[string]time.Time, at time.Time) (candidates, failed []string) {
+	for _, address := range addresses {
+		if when, ok := failedAt[address]; ok && at.Sub(when) < forgetFailureAfter {
+			failed = append(failed, address)
+			continue
+		}
+		candidates = append(candidates, address)
+	}
+	slices.SortFunc(failed, func(a, b string) int { return failedAt[a].Compare(failedAt[b]) })
+	return candidates, failed
+}
+
+// first returns the address that accepts a connection first.
+func first(ctx context.Context, addresses []string) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
-	candidates := w.candidates()
-	answers := make(chan string, len(candidates))
-	for _, address := range candidates {
-		tasks.Go(func() { answers <- reach(ctx, address, address == failed) })
+	answers := make(chan string, len(addresses))
+	for _, address := range addresses {
+		tasks.Go(func() { answers <- reach(ctx, address) })
 	}
-	for range candidates {
+	for range addresses {
 		if address := <-answers; address != "" {
 			return address, true
 		}
@@ -148,12 +179,8 @@
 	return "", false
 }
 
-// reach returns the address if it accepts a connection; the one that has just
-// failed only if no other does.
-func reach(ctx context.Context, address string, failed bool) string {
-	if failed && !sleep(ctx, probeTimeout/2) {
-		return ""
-	}
+// reach returns the address if it accepts a connection.
+func reach(ctx context.Context, address string) string {
 	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
