Wait for the new folder of a host that lost its disk before the next loss

Cause of TestHostThatLostItsDiskJoinsAgain failing (once in a run of the package, then 2 of 6 side by side under load): the test stopped a second host while the first still stood among the voters under the folder that it had lost, and so lost two of three at once, which nothing tolerates. It now waits until the host is a voter with its new folder; what it checks afterwards is unchanged. Ruled out: the product; the host is removed and added again in 0.3 s.

--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -47,8 +47,10 @@
 	assert.NilError(t, os.RemoveAll(wiped.dir))
 	l := listenAt(t, wiped.address)
 	wiped.start(l, nil)
-	waitFor(t, "three voters, the wiped one among them", func() bool {
-		return votersOf(hosts[0]) == 3 && document(wiped) == "seven"
+	// Until it is removed and added again it stands among the voters under
+	// the folder that it has lost, and doesn't count.
+	waitFor(t, "three voters, the wiped one with its new folder", func() bool {
+		return votersOf(hosts[0]) == 3 && isVoter(hosts[0], wiped) && document(wiped) == "seven"
 	})
 	hosts[1].stop()
 	hosts[1].stop = func() {}
@@ -83,6 +85,17 @@
 	})
 }
 
+// isVoter reports whether a host counts as a voter with the data folder that it
+// has now.
+func isVoter(h, voter *testHost) bool {
+	for _, m := range h.node.Members() {
+		if m.Address == voter.address {
+			return m.Voter && m.Incarnation == voter.node.Status().Incarnation
+		}
+	}
+	return false
+}
+
 func votersOf(h *testHost) int {
 	count := 0
 	for _, m := range h.node.Members() {
