--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math"
 	"sync"
 	"time"
 
@@ -14,28 +12,9 @@
 
 const (
 	dialTimeout = time.Second
-	// firstServiceTime is assumed before an upstream has answered anything.
-	firstServiceTime = 20 * time.Millisecond
-	// serviceTimeWeight is the weight of one answer in the estimate.
-	serviceTimeWeight = 0.15
-	// forgetHalfLife makes the proxy try an upstream again that was slow.
-	forgetHalfLife = time.Second
-	// backoffMin and backoffMax bound how long an upstream is left alone
-	// after a failure. The first is a round trip between regions.
-	backoffMin = 50 * time.Millisecond
-	backoffMax = 500 * time.Millisecond
-	// laggingMin and laggingMax bound how long an upstream that lacked a
-	// position is left alone. The first is the lag of a replica on a good
-	// day, the second a third of the ages that operators ask for.
-	laggingMin = 50 * time.Millisecond
-	laggingMax = 400 * time.Millisecond
 	// surplusIdle is how long a connection beside the first one stays open
 	// unused. Opening another costs the upstream 12 ms of a slot.
 	surplusIdle = 3 * time.Second
-	// openTime is the time that opening a connection adds to a statement.
-	// Upstreams take 12 ms, and round trips of up to 40 ms come on top. It
-	// counts where connections are scarce; elsewhere they stay open.
-	openTime = 30 * time.Millisecond
 )
 
 // pool holds a proxy's connections to one upstream and what the proxy has
@@ -304,26 +283,6 @@
 	p.waiters = nil
 }
 
-func (p *pool) dialFailedLocked(err error) {
-	var refused *DialRefused
-	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream {
-		// It is alive, but has no connection or slot to spare.
-		p.backoffTill = bootclock.Now().Add(backoffMin)
-		return
-	}
-	p.failedLocked()
-}
-
-// failedLocked notes a failure that says nothing good about the upstream.
-func (p *pool) failedLocked() {
-	if p.failures == 0 {
-		p.failedSince = bootclock.Now()
-	}
-	pause := min(backoffMin<<min(p.failures, 5), backoffMax)
-	p.failures++
-	p.backoffTill = bootclock.Now().Add(pause)
-}
-
 // closeLocked closes a connection that cannot be used again.
 func (p *pool) closeLocked(c *conn) {
 	p.leaveLocked(c)
@@ -411,144 +370,3 @@
 	}
 	p.waiters = nil
 }
-
-// crowded reports that even one statement of each proxy is too much for the
-// upstream.
-func (p *pool) crowded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.allowance.limit < 1
-}
-
-// succeeded notes an answer and, if it is that of a statement, its time.
-func (p *pool) succeeded(took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.failures, p.backoffTill = 0, time.Time{}
-	p.answeredAt = bootclock.Now()
-	if took > 0 {
-		ms := float64(took) / float64(time.Millisecond)
-		p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
-		p.usedAt = bootclock.Now()
-		p.allowance.succeeded(p.inFlight)
-	}
-}
-
-// busy notes that the upstream had no room for a statement.
-func (p *pool) busy(pause time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at := bootclock.Now()
-	p.backoffTill = at.Add(pause)
-	p.allowance.refused(at)
-}
-
-// lagging notes that the upstream lacked a position and what it held instead.
-// The longer it lacks positions, the longer it is not asked for more than that.
-func (p *pool) lagging(held upstream.Position) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.held = held
-	at := bootclock.Now()
-	if at.Before(p.laggingTill) {
-		return
-	}
-	p.laggingPause = min(max(2*p.laggingPause, laggingMin), laggingMax)
-	p.laggingTill = at.Add(p.laggingPause)
-}
-
-// caughtUp notes that the upstream held a position that a read needed.
-func (p *pool) caughtUp() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.laggingPause, p.laggingTill = 0, time.Time{}
-}
-
-// estimate is what the proxy expects of one more statement.
-type estimate struct {
-	// wait is the expected time until the answer.
-	wait time.Duration
-	// backsOff is set after a failure or a refusal, behind if the upstream
-	// is likely to lack the position that the statement needs.
-	backsOff, behind bool
-}
-
-// estimate is for a statement that needs a position; zero for none.
-func (p *pool) estimate(after upstream.Position) estimate {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at := bootclock.Now()
-	forgotten := math.Exp2(-float64(at.Sub(p.usedAt)) / float64(forgetHalfLife))
-	service := p.serviceTime * max(forgotten, 0.1)
-	service *= 1 + float64(p.inFlight+len(p.waiters))/p.allowance.limit
-	wait := time.Duration(service * float64(time.Millisecond))
-	if len(p.idle) == 0 && p.share.idle == scarceIdle {
-		wait += openTime
-	}
-	return estimate{
-		wait:     wait,
-		backsOff: at.Before(p.backoffTill),
-		behind:   at.Before(p.laggingTill) && p.held.Before(after),
-	}
-}
-
-const (
-	// stalledAfter is how long an upstream that has work may answer nothing
-	// before it is checked. Few statements take as long, and the check
-	// costs the upstream no slot but that of the connection.
-	stalledAfter = 300 * time.Millisecond
-	checkTimeout = 300 * time.Millisecond
-)
-
-// stalled reports whether the upstream should be checked now, and notes that it
-// will be.
-func (p *pool) stalled() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at := bootclock.Now()
-	if p.inFlight == 0 || p.checking || at.Sub(p.answeredAt) < stalledAfter {
-		return false
-	}
-	p.checking = true
-	return true
-}
-
-// check finds out whether the upstream answers on a new connection, so that one
-// that went dark is noticed before the statements that wait for it end.
-func (p *pool) check(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	p.mu.Lock()
-	u := p.record
-	p.mu.Unlock()
-	opened, err := p.dialer.Dial(ctx, u)
-	if err == nil {
-		// It has served its purpose.
-		_ = opened.Close()
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.checking = false
-	if err != nil {
-		p.dialFailedLocked(err)
-		return
-	}
-	p.answeredAt = bootclock.Now()
-}
-
-// sinceAnswer returns the time since the upstream last answered.
-func (p *pool) sinceAnswer() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return bootclock.Since(p.answeredAt)
-}
-
-// unreachableFor returns how long nothing but failures came from the upstream.
-func (p *pool) unreachableFor() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.failures == 0 {
-		return 0
-	}
-	return bootclock.Since(p.failedSince)
-}
