--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -8,6 +8,7 @@
 
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 	"lovageslip/metrics"
 	"lovageslip/upstream"
 )
@@ -92,7 +93,7 @@
 		if now().Add(a.wait).After(giveUp) {
 			return s.giveUp(a.reason)
 		}
-		if a.wait > 0 && !pause(ctx, a.wait) {
+		if a.wait > 0 && !pause.For(ctx, a.wait) {
 			return s.giveUp(fault.ReasonShutdown)
 		}
 	}
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -78,7 +78,7 @@
 	assert.Assert(t, l.record("b", "10.0.0.1:1", 300, 1), "the same id again, with a new start")
 }
 
-// Guards against an upstream that is removed by the late farewell of the
+// Guards against an upstream that is removed by the late removal message of the
 // process before it.
 func TestOnlyTheNamedProcessIsRemoved(t *testing.T) {
 	l := newLog(t)
--- a/sitecontrol/lead.go
+++ b/sitecontrol/lead.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 const (
@@ -27,7 +28,7 @@
 
 // runLeadership runs the duties of each term in which this host leads.
 func (s *Server) runLeadership(ctx context.Context) {
-	for sleep(ctx, leadInterval) {
+	for pause.For(ctx, leadInterval) {
 		if term, leads := s.o.Consensus.Leadership(); leads {
 			s.lead(ctx, term)
 		}
@@ -44,7 +45,7 @@
 	group.Go(func() { s.runMembership(ctx) })
 	group.Go(func() { s.runGroups(ctx) })
 	group.Go(func() { s.runProxyCount(ctx) })
-	for sleep(ctx, leadInterval) {
+	for pause.For(ctx, leadInterval) {
 		// A lapsed lease ends the duties only if it isn't renewed: each of
 		// them checks the lease by logging what it does.
 		if s.o.Consensus.Status().Term != term {
@@ -57,7 +58,7 @@
 	s.log.Info("no longer leading the control hosts", "term", term)
 }
 
-// startSeen gives each upstream the benefit of the doubt at the start of a
+// startSeen counts each upstream as announced just now at the start of a
 // term.
 func (s *Server) startSeen() {
 	state, _, _ := s.o.State.Current()
@@ -74,7 +75,7 @@
 }
 
 func (s *Server) runMembership(ctx context.Context) {
-	for sleep(ctx, membershipInterval) {
+	for pause.For(ctx, membershipInterval) {
 		s.keepMembership(ctx)
 	}
 }
@@ -83,7 +84,7 @@
 // counts at once, since the upstreams' connections would run out.
 func (s *Server) runProxyCount(ctx context.Context) {
 	lowerSince := now()
-	for sleep(ctx, time.Second) {
+	for pause.For(ctx, time.Second) {
 		state, _, _ := s.o.State.Current()
 		count := s.gatherReports(true).Proxies
 		if count >= state.Proxies {
--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -10,6 +10,7 @@
 	"lovageslip/consensus"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/internal/pause"
 )
 
 const (
@@ -30,7 +31,7 @@
 	if len(s.o.Consensus.Members()) == 0 {
 		lastLeader = lastLeader.Add(-joinAfter)
 	}
-	for ; ctx.Err() == nil; sleep(ctx, membershipInterval) {
+	for ; ctx.Err() == nil; pause.For(ctx, membershipInterval) {
 		if _, _, ok := s.o.Consensus.Leader(); ok {
 			lastLeader = now()
 			s.noteLeader()
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 	"lovageslip/site"
 	"lovageslip/upstream"
 )
@@ -60,7 +61,7 @@
 
 func (s *Server) runGroups(ctx context.Context) {
 	watches := make(map[string]*groupWatch)
-	for sleep(ctx, groupInterval) {
+	for pause.For(ctx, groupInterval) {
 		state, _, _ := s.o.State.Current()
 		var group conc.WaitGroup
 		for _, g := range state.Config.GetGroups() {
@@ -315,7 +316,7 @@
 			w.s.log.Info("successor holds all commits", "group", w.group, "upstream", successor.Id, "position", status.Received)
 			return
 		}
-		if !sleep(ctx, settleInterval) {
+		if !pause.For(ctx, settleInterval) {
 			w.s.log.Warn("successor lacks commits", "group", w.group, "upstream", successor.Id,
 				"wanted", stepped.Received, "position", status.Received, "error", err)
 			return
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 const (
@@ -99,7 +100,7 @@
 func (s *Server) runRelay(ctx context.Context) {
 	var last *pb.ReportRequest
 	var sentAt time.Time
-	for sleep(ctx, relayInterval) {
+	for pause.For(ctx, relayInterval) {
 		_, address, ok := s.o.Consensus.Leader()
 		if !ok || address == s.o.Address {
 			last = nil
--- a/sitecontrol/report_test.go
+++ b/sitecontrol/report_test.go
@@ -32,7 +32,7 @@
 
 // Guards against a lost primary that is kept because most proxies have nothing
 // to ask it.
-func TestProxiesWithoutWorkDoNotVouchForAPrimary(t *testing.T) {
+func TestIdleProxiesDoNotCountForAPrimary(t *testing.T) {
 	s := New(Options{Name: "c1", State: site.NewState()})
 	s.reports["a"] = report{at: now(), message: &pb.ReportRequest{
 		Reporter: "a", Proxies: 1, Complaints: []*pb.Complaint{{Upstream: "p", Proxies: 1}},
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 const (
@@ -70,7 +71,7 @@
 // this host hears from no leader or ctx ends.
 func (s *Server) waitForChange(ctx context.Context, changed <-chan struct{}) error {
 	for waited := time.Duration(0); waited < KeepAliveInterval; waited += watchInterval {
-		if !sleep(ctx, watchInterval) {
+		if !pause.For(ctx, watchInterval) {
 			return ctx.Err()
 		}
 		if _, _, ok := s.o.Consensus.Leader(); !ok {
@@ -115,14 +116,3 @@
 	slices.Sort(addresses)
 	return addresses
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -21,6 +21,7 @@
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/internal/pause"
 	"lovageslip/logging"
 	"lovageslip/metrics"
 	"lovageslip/proxy"
@@ -94,14 +95,14 @@
 	for ctx.Err() == nil {
 		address, ok := w.nearest(ctx, failedAt)
 		if !ok {
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		err := w.watch(ctx, address, p)
 		w.log.Warn("control host lost", "address", address, "index", w.index(), "error", err)
 		w.metrics.Counter("control_hosts_lost_total").Inc(1)
 		failedAt[address] = bootclock.Now()
-		sleep(ctx, retryPause/4)
+		pause.For(ctx, retryPause/4)
 	}
 }
 
@@ -257,13 +258,13 @@
 func (w *Watch) runReports(ctx context.Context, p Proxy) {
 	var last []string
 	var sentAt time.Time
-	for sleep(ctx, reportTick) {
+	for pause.For(ctx, reportTick) {
 		unreachable, untried := p.Reach()
-		pause := sitecontrol.ReportInterval
+		interval := sitecontrol.ReportInterval
 		if len(unreachable) > 0 {
-			pause = sitecontrol.ComplaintInterval
+			interval = sitecontrol.ComplaintInterval
 		}
-		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < pause {
+		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < interval {
 			continue
 		}
 		if !slices.Equal(unreachable, last) {
@@ -338,14 +339,3 @@
 	}
 	return c
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
