--- a/cmd/lovageslip-site/main.go
+++ b/cmd/lovageslip-site/main.go
@@ -47,7 +47,7 @@
 	// Libraries that use the standard logger write through it as well.
 	slog.SetDefault(log)
 	parsed := kong.Parse(&command{}, kong.Name("lovageslip-site"),
-		kong.Description("Run a host of a site. LOVAGESLIP_SETTINGS names its settings file."),
+		kong.Description("Run a host of a site. "+platform.SettingsVariable+" names its settings file."),
 		kong.Bind(log), kong.UsageOnError())
 	err := parsed.Run()
 	if err != nil {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -10,6 +10,7 @@
 
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 // formationIndex is the entry that records the first membership with the
@@ -76,7 +77,7 @@
 // runElections campaigns when no leader is heard, and makes a leader step down
 // when it hears from no quorum.
 func (n *Node) runElections(ctx context.Context) {
-	for sleep(ctx, n.untilElection()) {
+	for pause.For(ctx, n.untilElection()) {
 		if n.electionDue() {
 			n.campaign(ctx)
 		}
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -172,15 +171,3 @@
 func cancelled(ctx context.Context) error {
 	return &fault.NotRun{Reason: fault.ReasonCancelled, Detail: context.Cause(ctx).Error()}
 }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -10,6 +10,7 @@
 
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 // Propose implements Log. It waits up to 2 s for a leader. Errors are
@@ -42,8 +43,8 @@
 		if !isNoLeader(err) || time.Now().After(deadline) {
 			return err
 		}
-		pause := leaderPollMax/2 + rand.N(leaderPollMax/2)
-		if !sleep(ctx, pause) || n.ctx.Err() != nil {
+		wait := leaderPollMax/2 + rand.N(leaderPollMax/2)
+		if !pause.For(ctx, wait) || n.ctx.Err() != nil {
 			return err
 		}
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -9,6 +9,7 @@
 
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 // runHeartbeats renews the lease with one peer. It is separate from the
@@ -74,8 +75,8 @@
 		}
 		// The peer ignores entries that it already holds, so a request
 		// whose answer was lost can be sent again.
-		pause := retryDelay/2 + rand.N(retryDelay)
-		sleep(p.ctx, pause)
+		wait := retryDelay/2 + rand.N(retryDelay)
+		pause.For(p.ctx, wait)
 	}
 }
 
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovageslip/bootclock"
+	"lovageslip/internal/pause"
 )
 
 // Status is what operators and metrics see of a node.
@@ -105,7 +106,7 @@
 		n.metrics.Gauge("unsynced_entries").Update(float64(s.Last - min(s.Durable, s.Last)))
 		n.metrics.Gauge("leading").Update(gaugeOf(s.LeaseValid))
 		n.metrics.Gauge("storage_failed").Update(gaugeOf(s.Err != nil))
-		if !sleep(ctx, gaugeInterval) {
+		if !pause.For(ctx, gaugeInterval) {
 			return
 		}
 	}
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -52,9 +52,9 @@
 	return best, best.pool != nil
 }
 
-// lastResort is added for each reason against an upstream; it outweighs any
-// expected wait.
-const lastResort = 10 * time.Second
+// backoffPenalty is added for an upstream that has just failed or refused; it
+// outweighs any expected wait.
+const backoffPenalty = 20 * time.Second
 
 // expectedWait reports false if the upstream lacked a position a moment ago, so
 // that asking it again would only cost time. A primary lacks none.
@@ -71,7 +71,7 @@
 		wait += remotePenalty
 	}
 	if e.backsOff {
-		wait += 2 * lastResort
+		wait += backoffPenalty
 	}
 	return wait, true
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -100,7 +100,7 @@
 	if err == nil && answers[0].Code == CodeNone {
 		t.pool.caughtUp()
 	}
-	a := s.readAnswered(c, w, plan, startedAt, answers, err, 0)
+	a := s.readAnswered(c, w, plan, startedAt, answers, err)
 	a.after = t.after
 	return a
 }
@@ -121,15 +121,15 @@
 	return a
 }
 
-// readAnswered handles the answers to a read; at tells which of them is the
-// read's own. A read may run again, since it changes nothing.
-func (s *Session) readAnswered(c *conn, w work, plan *readPlan, startedAt time.Time, answers []Answer, err error, at int) attempt {
+// readAnswered handles the answers to a read, the first of which is its own. A
+// read may run again, since it changes nothing.
+func (s *Session) readAnswered(c *conn, w work, plan *readPlan, startedAt time.Time, answers []Answer, err error) attempt {
 	if err != nil {
 		c.pool.discard(c, startedAt)
 		plan.excluded[c.pool.id()] = true
 		return retry(reasonConnectionLost, 0)
 	}
-	a, last := answers[at], answers[len(answers)-1]
+	a, last := answers[0], answers[len(answers)-1]
 	c.pool.succeeded(now().Sub(startedAt))
 	switch {
 	case a.Code.NotRun():
@@ -158,7 +158,7 @@
 	if err == nil && answers[0].Code == CodeNone {
 		s.proxy.group(route.Group).positions.add(answers[0].Position, startedAt)
 	}
-	return s.readAnswered(c, w, plan, startedAt, answers, err, 0)
+	return s.readAnswered(c, w, plan, startedAt, answers, err)
 }
 
 // openAtPrimary returns a connection on which a transaction at the leading
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -66,7 +66,6 @@
 	CommandReset
 	CommandSet
 	CommandPrepare
-	CommandDeallocate
 )
 
 // Command is one message to an upstream.
@@ -77,9 +76,9 @@
 	// After makes the upstream refuse with CodeLagging if its log lacks the
 	// position. It applies to reads and to CommandBeginRead.
 	After upstream.Position
-	// Name and Value are those of CommandSet, CommandPrepare (value: the
-	// shape) and CommandDeallocate, and the name under which CommandForward
-	// finds its prepared statement.
+	// Name and Value are those of CommandSet and CommandPrepare (value: the
+	// shape); Name is also what CommandForward finds its prepared statement
+	// under.
 	Name, Value string
 	// ReadOnly is set on a CommandPrepare of a read.
 	ReadOnly bool
