--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -173,6 +174,9 @@
 	default:
 		s.tx.took += took
 	}
-	s.proxy.log.Info("statement served", "request", st.ID, "database", s.database, "upstream", c.pool.id(),
-		"took", took, "position", a.Position, "since_begin", now().Sub(s.begunAt))
+	// Typed attributes need no allocation each; this is the line that is
+	// written most.
+	s.proxy.log.LogAttrs(context.Background(), slog.LevelInfo, "statement served",
+		slog.String("request", st.ID), slog.String("database", s.database), slog.String("upstream", c.pool.id()),
+		slog.Duration("took", took), slog.Any("position", a.Position), slog.Duration("since_begin", now().Sub(s.begunAt)))
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -74,6 +74,8 @@
 	values   map[string]string
 	prepared map[string]bool
 	idleAt   time.Time
+	// commands is a buffer of what is sent together.
+	commands []Command
 	// counted is set while the connection counts as in flight; the pool's
 	// lock guards it.
 	counted bool
@@ -164,31 +166,49 @@
 }
 
 // acquire returns a connection that counts as in flight, waiting for its turn
-// until ctx ends. Its errors are *DialRefused, *fault.IO and *Refusal; nothing
+// until the limit has passed or ctx ends. Its errors are *DialRefused, *fault.IO and *Refusal; nothing
 // has run.
-func (p *pool) acquire(ctx context.Context, t ticket) (*conn, error) {
-	w := &waiter{ticket: t, granted: make(chan grant, 1)}
-	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return nil, upstreamGone()
+func (p *pool) acquire(ctx context.Context, t ticket, limit time.Duration) (*conn, error) {
+	c, w, err := p.join(t)
+	if w == nil {
+		return c, err
 	}
-	p.waiters = append(p.waiters, w)
-	p.grantLocked()
-	p.mu.Unlock()
 	select {
 	case g := <-w.granted:
 		return g.conn, g.err
 	default:
 	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	select {
 	case g := <-w.granted:
 		return g.conn, g.err
+	case <-timer.C:
+		return p.abandon(w)
 	case <-ctx.Done():
 		return p.abandon(w)
 	}
 }
 
+// join returns a connection if there is one at once and nobody waits, and a
+// waiter otherwise.
+func (p *pool) join(t ticket) (*conn, *waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, upstreamGone()
+	}
+	if len(p.waiters) == 0 && p.allowance.allows(p.inFlight, now()) {
+		if c := p.takeLocked(); c != nil {
+			return c, nil, nil
+		}
+	}
+	w := &waiter{ticket: t, granted: make(chan grant, 1)}
+	p.waiters = append(p.waiters, w)
+	p.grantLocked()
+	return nil, w, nil
+}
+
 // Reasons of refusals by a pool.
 const (
 	reasonUpstreamGone = "upstream_gone"
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -41,9 +41,9 @@
 	f := newFixture(t)
 	u := f.parts.Upstreams[0]
 	pl, _ := f.proxy.pool(u)
-	first, err := pl.acquire(context.Background(), urgent())
+	first, err := pl.acquire(context.Background(), urgent(), time.Second)
 	assert.NilError(t, err)
-	second, err := pl.acquire(context.Background(), urgent())
+	second, err := pl.acquire(context.Background(), urgent(), time.Second)
 	assert.NilError(t, err)
 	sentAt := now()
 	time.Sleep(time.Millisecond)
@@ -53,7 +53,7 @@
 	assert.Equal(t, len(pl.idle), 1)
 	assert.Equal(t, pl.unreachableFor(), time.Duration(0))
 
-	third, err := pl.acquire(context.Background(), urgent())
+	third, err := pl.acquire(context.Background(), urgent(), time.Second)
 	assert.NilError(t, err)
 	pl.discard(third, now())
 	assert.Equal(t, len(pl.idle), 0)
@@ -67,7 +67,7 @@
 	pl, _ := f.proxy.pool(f.parts.Upstreams[0])
 	var conns []*conn
 	for range 4 {
-		c, err := pl.acquire(context.Background(), urgent())
+		c, err := pl.acquire(context.Background(), urgent(), time.Second)
 		assert.NilError(t, err)
 		conns = append(conns, c)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -285,9 +285,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
-	defer cancel()
-	c, err := pl.acquire(ctx, urgent())
+	c, err := pl.acquire(ctx, urgent(), sampleTimeout)
 	if err != nil {
 		p.metrics.Counter("samples_failed_total").Inc(1)
 		return
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -11,12 +11,19 @@
 
 // readPlan is what one read has met so far.
 type readPlan struct {
-	excluded map[string]bool
+	excluded map[string]bool // nil until an upstream is excluded
 	reruns   int
 }
 
+func (p *readPlan) exclude(id string) {
+	if p.excluded == nil {
+		p.excluded = make(map[string]bool)
+	}
+	p.excluded[id] = true
+}
+
 func (s *Session) runRead(ctx context.Context, w work, route *pb.SiteRoute) Reply {
-	plan := &readPlan{excluded: map[string]bool{}}
+	plan := &readPlan{}
 	return s.repeat(ctx, w.statement, func() attempt {
 		if !mayBeOld(route) {
 			return s.readLatest(ctx, w, route, plan)
@@ -87,9 +94,7 @@
 	if t.primary {
 		return s.readLatest(ctx, w, route, plan)
 	}
-	turnCtx, cancel := context.WithTimeout(ctx, turnSlice)
-	defer cancel()
-	c, err := t.pool.acquire(turnCtx, s.ticket(route))
+	c, err := t.pool.acquire(ctx, s.ticket(route), turnSlice)
 	if err != nil {
 		return s.notAcquired(err, plan, t.upstream.Id)
 	}
@@ -117,7 +122,7 @@
 		a.wait = 0
 		return a
 	}
-	plan.excluded[id] = true
+	plan.exclude(id)
 	return a
 }
 
@@ -126,18 +131,18 @@
 func (s *Session) readAnswered(c *conn, w work, plan *readPlan, startedAt time.Time, answers []Answer, err error) attempt {
 	if err != nil {
 		c.pool.discard(c, startedAt)
-		plan.excluded[c.pool.id()] = true
+		plan.exclude(c.pool.id())
 		return retry(reasonConnectionLost, 0)
 	}
 	a, last := answers[0], answers[len(answers)-1]
 	c.pool.succeeded(now().Sub(startedAt))
 	switch {
 	case a.Code.NotRun():
-		plan.excluded[c.pool.id()] = true
+		plan.exclude(c.pool.id())
 		return s.notRun(c, Answer{Code: a.Code, State: last.State, Position: a.Position})
 	case a.Code != CodeNone && plan.reruns < maxReruns:
 		plan.reruns++
-		plan.excluded[c.pool.id()] = true
+		plan.exclude(c.pool.id())
 		s.proxy.finish(c, last)
 		return retry(reasonReadFailed, 0)
 	}
@@ -174,9 +179,7 @@
 }
 
 func (s *Session) openTransaction(ctx context.Context, pl *pool, w work, route *pb.SiteRoute, begin Command) (*conn, *attempt) {
-	ctx, cancel := context.WithTimeout(ctx, timeout(route))
-	defer cancel()
-	c, err := pl.acquire(ctx, s.ticket(route))
+	c, err := pl.acquire(ctx, s.ticket(route), timeout(route))
 	if err != nil {
 		a := notAcquired(err)
 		return nil, &a
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -216,7 +216,10 @@
 // exchange sends the set-up and the commands together, and returns the answers
 // to the commands. A set-up that is refused makes the connection unusable.
 func exchange(c *conn, deadline time.Time, setUp []Command, commands ...Command) ([]Answer, error) {
-	answers, err := c.Exchange(deadline, append(setUp, commands...)...)
+	c.commands = append(append(c.commands[:0], setUp...), commands...)
+	answers, err := c.Exchange(deadline, c.commands...)
+	// The buffer must not keep the caller's statement alive.
+	clear(c.commands)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -140,7 +140,8 @@
 type Conn interface {
 	// Exchange sends the commands together and returns their answers in
 	// order. After an error, the connection is unusable, and whether a
-	// command without an answer ran is unknown.
+	// command without an answer ran is unknown. The slice, but not the
+	// bodies in it, is valid until the next Exchange.
 	Exchange(deadline time.Time, commands ...Command) ([]Answer, error)
 	// Alive reports whether the connection is open and nothing unexpected
 	// has arrived on it. It does not block.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -95,7 +95,7 @@
 		return &reply
 	}
 	tx.route = route
-	plan := &readPlan{excluded: map[string]bool{}}
+	plan := &readPlan{}
 	reply := s.repeat(ctx, w.statement, func() attempt { return s.bindOnce(ctx, w, plan) })
 	if tx.conn != nil {
 		return nil
@@ -117,7 +117,7 @@
 	}
 	c, failed := s.openTransaction(ctx, t.pool, w, s.tx.route, Command{Kind: CommandBeginRead, After: t.after})
 	if failed != nil {
-		plan.excluded[t.upstream.Id] = true
+		plan.exclude(t.upstream.Id)
 		return *failed
 	}
 	s.tx.conn, s.tx.primary = c, false
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -19,9 +19,7 @@
 	if !ok {
 		return retry(reasonNoPrimary, jitter(noPrimaryPause))
 	}
-	acquireCtx, cancel := context.WithTimeout(ctx, timeout(route))
-	defer cancel()
-	c, err := pl.acquire(acquireCtx, s.ticket(route))
+	c, err := pl.acquire(ctx, s.ticket(route), timeout(route))
 	if err != nil {
 		return notAcquired(err)
 	}
