Control hosts beyond two more than are needed stand by

Now a host asks through Join. A host that stands by takes the place of a member that ends.

TestHostsThatAreNotNeededStandBy failed with the check taken out.

--- a/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
@@ -41,6 +41,8 @@
 	SiteServiceReportProcedure = "/lovageslip.v1.SiteService/Report"
 	// SiteServicePositionsProcedure is the fully-qualified name of the SiteService's Positions RPC.
 	SiteServicePositionsProcedure = "/lovageslip.v1.SiteService/Positions"
+	// SiteServiceJoinProcedure is the fully-qualified name of the SiteService's Join RPC.
+	SiteServiceJoinProcedure = "/lovageslip.v1.SiteService/Join"
 )
 
 // SiteServiceClient is a client for the lovageslip.v1.SiteService service.
@@ -53,6 +55,9 @@
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 	// Positions tells what the primaries of groups held a moment ago.
 	Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error)
+	// Join asks for membership of the control hosts. Any host answers; one that
+	// knows a leader passes the call on.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewSiteServiceClient constructs a client for the lovageslip.v1.SiteService service. By default,
@@ -90,6 +95,12 @@
 			connect.WithSchema(siteServiceMethods.ByName("Positions")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+			httpClient,
+			baseURL+SiteServiceJoinProcedure,
+			connect.WithSchema(siteServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -99,6 +110,7 @@
 	announce  *connect.Client[v1.AnnounceUpstreamRequest, v1.AnnounceUpstreamResponse]
 	report    *connect.Client[v1.ReportRequest, v1.ReportResponse]
 	positions *connect.Client[v1.PositionsRequest, v1.PositionsResponse]
+	join      *connect.Client[v1.JoinRequest, v1.JoinResponse]
 }
 
 // Watch calls lovageslip.v1.SiteService.Watch.
@@ -121,6 +133,11 @@
 	return c.positions.CallUnary(ctx, req)
 }
 
+// Join calls lovageslip.v1.SiteService.Join.
+func (c *siteServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // SiteServiceHandler is an implementation of the lovageslip.v1.SiteService service.
 type SiteServiceHandler interface {
 	// Watch sends the state at once and after each change.
@@ -131,6 +148,9 @@
 	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 	// Positions tells what the primaries of groups held a moment ago.
 	Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error)
+	// Join asks for membership of the control hosts. Any host answers; one that
+	// knows a leader passes the call on.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewSiteServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -164,6 +184,12 @@
 		connect.WithSchema(siteServiceMethods.ByName("Positions")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siteServiceJoinHandler := connect.NewUnaryHandler(
+		SiteServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(siteServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovageslip.v1.SiteService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SiteServiceWatchProcedure:
@@ -174,6 +200,8 @@
 			siteServiceReportHandler.ServeHTTP(w, r)
 		case SiteServicePositionsProcedure:
 			siteServicePositionsHandler.ServeHTTP(w, r)
+		case SiteServiceJoinProcedure:
+			siteServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -198,3 +226,7 @@
 func (UnimplementedSiteServiceHandler) Positions(context.Context, *connect.Request[v1.PositionsRequest]) (*connect.Response[v1.PositionsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Positions is not implemented"))
 }
+
+func (UnimplementedSiteServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Join is not implemented"))
+}
--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -9,7 +9,6 @@
 
 	"lovageslip/consensus"
 	pb "lovageslip/gen/lovageslip/v1"
-	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/internal/pause"
 )
 
@@ -31,14 +30,15 @@
 	if len(s.o.Consensus.Members()) == 0 {
 		lastLeader = lastLeader.Add(-joinAfter)
 	}
-	for ; ctx.Err() == nil; pause.For(ctx, membershipInterval) {
+	for next := membershipInterval; ctx.Err() == nil; pause.For(ctx, next) {
+		next = membershipInterval
 		if _, _, ok := s.o.Consensus.Leader(); ok {
 			lastLeader = now()
 			s.noteLeader()
 			continue
 		}
-		if now().Sub(lastLeader) >= joinAfter {
-			s.join(ctx)
+		if now().Sub(lastLeader) >= joinAfter && s.join(ctx) {
+			next = standbyInterval
 		}
 	}
 }
@@ -47,6 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaderAt = now()
+	s.standby = nil
 }
 
 // leaderlessFor returns how long this host has known no leader, or has run
@@ -57,24 +58,61 @@
 	return now().Sub(s.leaderAt)
 }
 
-func (s *Server) join(ctx context.Context) {
+// join asks the peers until one has an answer. It reports whether this host is
+// not needed.
+func (s *Server) join(ctx context.Context) (standsBy bool) {
 	for _, address := range s.peerAddresses() {
-		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-		client := lovageslipv1connect.NewMemberServiceClient(s.o.HTTPClient, "http://"+address)
-		request := &pb.AddMemberRequest{Name: s.o.Address, Address: s.o.Address}
-		_, err := client.AddMember(ctx, connect.NewRequest(request))
-		cancel()
-		if err == nil {
+		response, err := s.askToJoin(ctx, address)
+		if err != nil {
+			s.log.Info("not joined", "through", address, "error", err)
+			continue
+		}
+		switch response.Outcome {
+		case pb.JoinOutcome_JOIN_OUTCOME_ADDED:
 			s.log.Info("joined the control hosts", "through", address)
-			return
+			s.setStandby(nil)
+			return false
+		case pb.JoinOutcome_JOIN_OUTCOME_NOT_NEEDED:
+			if s.standbyMembers() == nil {
+				s.log.Info("standing by, enough control hosts are members", "members", response.Members, "leader", response.Leader)
+			}
+			s.setStandby(&standby{members: response.Members, leader: response.Leader})
+			return true
 		}
-		s.log.Info("not joined", "through", address, "error", err)
 	}
+	return false
+}
+
+func (s *Server) askToJoin(ctx context.Context, address string) (*pb.JoinResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	response, err := s.client(address).Join(ctx, connect.NewRequest(&pb.JoinRequest{Address: s.o.Address}))
+	if err != nil {
+		return nil, err
+	}
+	if response.Msg.Outcome == pb.JoinOutcome_JOIN_OUTCOME_UNSPECIFIED {
+		s.learn(response.Msg.Members)
+	}
+	return response.Msg, nil
+}
+
+// learn keeps the addresses of hosts that may know more, for a host whose own
+// seeds do not.
+func (s *Server) learn(members []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learned = members
 }
 
 // peerAddresses lists the other control hosts that may be running.
 func (s *Server) peerAddresses() []string {
-	addresses := slices.Concat(s.memberAddresses(), s.o.Seeds())
+	s.mu.Lock()
+	addresses := slices.Concat(s.learned, s.o.Seeds())
+	if s.standby != nil {
+		addresses = append(addresses, s.standby.members...)
+	}
+	s.mu.Unlock()
+	addresses = append(addresses, s.memberAddresses()...)
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	return slices.DeleteFunc(addresses, func(a string) bool { return a == s.o.Address })
@@ -109,7 +147,7 @@
 			silent = m
 		}
 	}
-	if voters > 2*s.o.MaxLost+1 && silent.Silent > removeAfter {
+	if voters > s.neededVoters() && silent.Silent > removeAfter {
 		return silent, "replaced", true
 	}
 	return consensus.MemberStatus{}, "", false
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -99,6 +99,7 @@
 	log     *slog.Logger
 	metrics tally.Scope
 
+	admitting sync.Mutex
 	// mu guards the fields below.
 	mu      sync.Mutex
 	clients map[string]lovageslipv1connect.SiteServiceClient
@@ -107,6 +108,10 @@
 	// seen is when and with what each upstream last announced itself to
 	// this host as the leader.
 	seen map[string]announcement
+	// standby is set while this host is not needed as a member.
+	standby *standby
+	// learned are hosts that another one named when it could not decide.
+	learned []string
 	// leaderAt is when a leader was last known, or when this host started.
 	leaderAt time.Time
 	// sampled is what the primaries of groups held.
--- /dev/null
+++ b/sitecontrol/standby_test.go
@@ -0,0 +1,85 @@
+package sitecontrol
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/tlsconf"
+)
+
+// Guards against a cluster in which each control host is a member: with 75 of
+// them the leader was so busy with heartbeats and changes of membership that no
+// configuration was acknowledged.
+func TestHostsThatAreNotNeededStandBy(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	limit := hosts[0].server.neededVoters() + extraMembers
+	for len(hosts) < limit+3 {
+		hosts = append(hosts, join(t, hosts[0].seeds))
+	}
+	store(t, hosts[0], 7, "seven")
+	var standing []*testHost
+	waitFor(t, "the hosts beyond the limit to stand by", func() bool {
+		standing = standbys(hosts)
+		return len(standing) == 3 && votersOf(hosts[0]) == limit
+	})
+
+	leader, ok := standing[0].server.StandbyFor()
+	assert.Assert(t, ok)
+	known, _, _ := net.SplitHostPort(hosts[0].address)
+	assert.Equal(t, leader, known, "all hosts of the test have one IP")
+	members := watchedMembers(t, standing[0])
+	assert.Equal(t, len(members), limit)
+
+	// Its seeds name only hosts that stand by.
+	late := join(t, []string{standing[0].address, standing[1].address})
+	waitFor(t, "a host that only knows hosts that stand by", func() bool { return late.server.standbyMembers() != nil })
+
+	for _, h := range hosts[1:] {
+		if !slices.Contains(standing, h) {
+			h.stop()
+			h.stop = func() {}
+			break
+		}
+	}
+	waitFor(t, "a host that stood by in the place of one that ended", func() bool {
+		return slices.ContainsFunc(standing, func(h *testHost) bool { return document(h) == "seven" })
+	})
+}
+
+// standbys returns the hosts that stand by.
+func standbys(hosts []*testHost) []*testHost {
+	var standing []*testHost
+	for _, h := range hosts {
+		if h.server.standbyMembers() != nil {
+			standing = append(standing, h)
+		}
+	}
+	return standing
+}
+
+// join starts one more host.
+func join(t *testing.T, seeds []string) *testHost {
+	t.Helper()
+	l := listenAnywhere(t)
+	h := &testHost{t: t, address: l.Addr().String(), dir: t.TempDir(), seeds: seeds, fake: newFakeUpstreams()}
+	h.start(l, nil)
+	t.Cleanup(func() { h.stop() })
+	return h
+}
+
+// watchedMembers returns the control hosts that a Watch on a host names first.
+func watchedMembers(t *testing.T, h *testHost) []string {
+	t.Helper()
+	client := NewClient(tlsconf.HTTPClient(nil), h.address)
+	stream, err := client.Watch(context.Background(), connect.NewRequest(&pb.WatchSiteRequest{Proxy: "p"}))
+	assert.NilError(t, err)
+	defer stream.Close()
+	assert.Assert(t, stream.Receive(), "%v", stream.Err())
+	return stream.Msg().ControlHosts
+}
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -36,9 +36,16 @@
 }
 
 // Watch implements SiteService. The stream ends when this host hears from no
-// leader, so that the proxy turns to another control host.
+// leader, so that the proxy turns to another control host; a host that stands by
+// names those that are members.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchSiteRequest], stream *connect.ServerStream[pb.SiteUpdate]) error {
 	w := &watcher{}
+	if members := s.standbyMembers(); members != nil {
+		if err := stream.Send(&pb.SiteUpdate{ControlHosts: members}); err != nil {
+			return err
+		}
+		return unavailable(noLeader())
+	}
 	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
 	if err := s.readCommitted(ctx); err != nil {
 		return unavailable(err)
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -74,6 +74,8 @@
 	parts   site.ViewParts
 	current string // address of the control host that is watched
 	heardAt time.Time
+	// learned are control hosts that one which only stands by has named.
+	learned []string
 }
 
 // New returns a watch; Run must be called.
@@ -121,7 +123,7 @@
 
 func (w *Watch) candidates() []string {
 	w.mu.Lock()
-	addresses := slices.Concat(w.parts.ControlHosts, w.o.Seeds())
+	addresses := slices.Concat(w.parts.ControlHosts, w.learned, w.o.Seeds())
 	w.mu.Unlock()
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
@@ -208,6 +210,10 @@
 	first := true
 	for stream.Receive() {
 		silence.Reset(silenceLimit)
+		if u := stream.Msg(); !u.Topology && len(u.ControlHosts) > 0 {
+			w.learn(u.ControlHosts)
+			continue
+		}
 		if first {
 			w.log.Info("watching a control host", "address", address)
 			first = false
@@ -219,6 +225,12 @@
 	return &fault.IO{Op: "watch", Err: stream.Err()}
 }
 
+func (w *Watch) learn(hosts []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.learned = hosts
+}
+
 // OldState reports a control host whose state is older than the proxy's.
 type OldState struct{ Address string }
 
