--- a/sitecontrol/standby_test.go
+++ b/sitecontrol/standby_test.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"lovageslip/consensus"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/tlsconf"
 )
@@ -52,6 +53,16 @@
 	})
 }
 
+// Guards against a tolerance that asks for more voters than a leader can serve.
+func TestMembersAreBounded(t *testing.T) {
+	s := &Server{o: Options{MaxLost: 99}}
+	members := make([]consensus.MemberStatus, maxMembers-1)
+	assert.Assert(t, s.needs("new", members))
+	assert.Assert(t, !s.needs("new", append(members, consensus.MemberStatus{})))
+	members[0].Silent = 2 * removeAfter
+	assert.Assert(t, s.needs("new", append(members, consensus.MemberStatus{})), "one of them has ended")
+}
+
 // standbys returns the hosts that stand by.
 func standbys(hosts []*testHost) []*testHost {
 	var standing []*testHost
