An upstream's refusals do not count as its service time

Cause: the time of each answer went into the estimate, also of those that said that nothing had run.

TestRefusalsDoNotCountAsServiceTime failed before.

--- a/proxy/health.go
+++ b/proxy/health.go
@@ -60,18 +60,38 @@
 	return p.allowance.limit < 1
 }
 
-// succeeded notes an answer and, if it is that of a statement, its time.
-func (p *pool) succeeded(took time.Duration) {
+// answered notes an answer to something that needs no slot, or to a statement
+// that did not run. Its time says nothing of how busy the upstream is.
+func (p *pool) answered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.answeredLocked(bootclock.Now())
+}
+
+func (p *pool) answeredLocked(at time.Time) {
 	p.failures, p.backoffTill = 0, time.Time{}
-	p.answeredAt = bootclock.Now()
-	if took > 0 {
-		ms := float64(took) / float64(time.Millisecond)
-		p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
-		p.usedAt = bootclock.Now()
-		p.allowance.succeeded(p.inFlight)
+	p.answeredAt = at
+}
+
+// succeeded notes the answer to a statement that ran and its time.
+func (p *pool) succeeded(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := bootclock.Now()
+	p.answeredLocked(at)
+	ms := float64(took) / float64(time.Millisecond)
+	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
+	p.usedAt = at
+	p.allowance.succeeded(p.inFlight)
+}
+
+// noteAnswer notes the answer to a statement.
+func (p *pool) noteAnswer(code Code, took time.Duration) {
+	if code.NotRun() {
+		p.answered()
+		return
 	}
+	p.succeeded(took)
 }
 
 // busy notes that the upstream had no room for a statement.
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -99,3 +99,18 @@
 	time.Sleep(time.Millisecond)
 	assert.Assert(t, pl.unreachableFor() > 0)
 }
+
+// Guards against an upstream that is full and seems fast, because its refusals
+// come at once: it would be chosen before all others.
+func TestRefusalsDoNotCountAsServiceTime(t *testing.T) {
+	f := newFixture(t)
+	pl, _ := f.proxy.pool(f.parts.Upstreams[1])
+	for range 20 {
+		pl.succeeded(100 * time.Millisecond)
+	}
+	before := pl.estimate(upstream.Position{}).wait
+	for range 20 {
+		pl.noteAnswer(CodeBusy, time.Millisecond)
+	}
+	assert.Assert(t, pl.estimate(upstream.Position{}).wait > before*9/10)
+}
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -135,7 +135,7 @@
 		return retry(reasonConnectionLost, 0)
 	}
 	a, last := answers[0], answers[len(answers)-1]
-	c.pool.succeeded(now().Sub(startedAt))
+	c.pool.noteAnswer(a.Code, now().Sub(startedAt))
 	switch {
 	case a.Code.NotRun():
 		plan.exclude(c.pool.id())
@@ -192,7 +192,7 @@
 		a := retry(reasonConnectionLost, 0)
 		return nil, &a
 	}
-	pl.succeeded(0)
+	pl.answered()
 	if answers[0].Code != CodeNone {
 		a := s.notRun(c, answers[0])
 		return nil, &a
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -164,7 +164,7 @@
 	}
 	c.pool.rest(c)
 	a := answers[0]
-	c.pool.succeeded(now().Sub(askedAt))
+	c.pool.noteAnswer(a.Code, now().Sub(askedAt))
 	switch {
 	case a.Code == CodeNone:
 		s.noteRun(w, a, askedAt)
@@ -242,7 +242,7 @@
 		return final(unknown(fault.ReasonOutcomeUnknown))
 	}
 	a := answers[0]
-	c.pool.succeeded(now().Sub(askedAt))
+	c.pool.noteAnswer(a.Code, now().Sub(askedAt))
 	c.pool.rest(c)
 	if a.Code == CodeBusy && a.State == StateOpen {
 		return retry(reasonBusy, jitter(busyPause))
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -32,7 +32,7 @@
 		return final(unknown(fault.ReasonOutcomeUnknown))
 	}
 	a := answers[0]
-	pl.succeeded(now().Sub(askedAt))
+	pl.noteAnswer(a.Code, now().Sub(askedAt))
 	if a.Code.NotRun() {
 		return s.notRun(c, a)
 	}
