Send fewer statements to an upstream whose answers take longer

Pattern: a wave over capacity, as after the final fault or while replicas lag. Cause: the allowance fell only when the upstream's queue of 40 was full, so that at 3 slots and 20 ms each statement waited 270 ms in an order that the proxies cannot change; a transaction waits so for each of its statements.

Now the allowance also falls, to one at the least, while statements take 90 ms longer on average than the shortest answer of late.

Ruled out: a limit from the announced slots (the load of the proxies is uneven, and they do not know each other's).

TestQueueAtTheUpstreamStaysShort failed with the tolerance taken out (28 queued).

--- a/proxy/allowance.go
+++ b/proxy/allowance.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// delayed lowers the limit because statements wait in the upstream's queue. One
+// statement at a time is always sent: it may be the upstream that is slow.
+func (a *allowance) delayed(at time.Time) {
+	if a.limit <= 1 || at.Sub(a.cutAt) < allowanceRest {
+		return
+	}
+	a.cutAt = at
+	a.limit = max(a.limit*allowanceCut, 1)
+}
+
 // refused lowers the limit.
 func (a *allowance) refused(at time.Time) {
 	if at.Sub(a.cutAt) < allowanceRest {
--- a/proxy/allowance_test.go
+++ b/proxy/allowance_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
 )
 
 // Pattern: demand over capacity. Guards against an order in which the backlog
@@ -111,3 +113,35 @@
 	a.succeeded(0)
 	assert.Assert(t, a.allows(0, at), "one answer shows that there is room")
 }
+
+// Pattern: a wave over capacity at an upstream with a long queue. Guards against
+// a queue that is kept full at the upstream, where urgent work cannot pass: each
+// statement of a transaction then waits for all of it.
+func TestQueueAtTheUpstreamStaysShort(t *testing.T) {
+	pl := newPool(nil, &pb.SiteUpstream{Id: "u"}, share{limit: 40, idle: idleLimit})
+	pl.answered(2 * time.Millisecond)
+	const slots, service = 3, 20 * time.Millisecond
+	longest := 0
+	for range 500 {
+		pl.inFlight = int(pl.allowance.limit) // there is always more to send
+		queued := max(pl.inFlight-slots, 0)
+		longest = max(longest, queued)
+		took := service + time.Duration(queued)*service/slots
+		pl.succeeded(took)
+		pl.allowance.cutAt = time.Time{} // answers come further apart than cuts may
+	}
+	// The tolerated wait is that of 90 ms / 20 ms * 3 slots = 14 statements.
+	assert.Assert(t, longest <= 20, "%d statements in the queue", longest)
+	assert.Assert(t, pl.allowance.limit >= slots, "a limit of %.1f leaves slots empty", pl.allowance.limit)
+}
+
+// Guards against an upstream that is slow and gets no work at all any more.
+func TestSlowUpstreamStillGetsWork(t *testing.T) {
+	a := newAllowance()
+	at := time.Unix(100, 0)
+	for range 40 {
+		at = at.Add(allowanceRest)
+		a.delayed(at)
+	}
+	assert.Equal(t, a.limit, 1.0)
+}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -15,6 +15,15 @@
 	firstServiceTime = 20 * time.Millisecond
 	// serviceTimeWeight is the weight of one answer in the estimate.
 	serviceTimeWeight = 0.15
+	// leastDrift lets the least time of an answer grow by this part with
+	// each answer, so that a path that has become longer is learned within
+	// some hundred answers.
+	leastDrift = 200
+	// queueTolerance is how much longer than the least time statements may
+	// take on average before fewer are sent. Two pieces of average work
+	// take about as long. An upstream's queue is served in the order of
+	// arrival, so what waits there can't be passed by urgent work.
+	queueTolerance = 90 * time.Millisecond
 	// forgetHalfLife makes the proxy try an upstream again that was slow.
 	forgetHalfLife = time.Second
 	// backoffMin and backoffMax bound how long an upstream is left alone
@@ -62,15 +71,19 @@
 
 // answered notes an answer to something that needs no slot, or to a statement
 // that did not run. Its time says nothing of how busy the upstream is.
-func (p *pool) answered() {
+func (p *pool) answered(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answeredLocked(bootclock.Now())
+	p.answeredLocked(bootclock.Now(), took)
 }
 
-func (p *pool) answeredLocked(at time.Time) {
+func (p *pool) answeredLocked(at time.Time, took time.Duration) {
 	p.failures, p.backoffTill = 0, time.Time{}
 	p.answeredAt = at
+	if p.least == 0 || took < p.least {
+		p.least = took
+	}
+	p.least += p.least / leastDrift
 }
 
 // succeeded notes the answer to a statement that ran and its time.
@@ -78,17 +91,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := bootclock.Now()
-	p.answeredLocked(at)
+	p.answeredLocked(at, took)
 	ms := float64(took) / float64(time.Millisecond)
 	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
 	p.usedAt = at
+	if queue := p.serviceTime - float64(p.least)/float64(time.Millisecond); queue > float64(queueTolerance)/float64(time.Millisecond) {
+		p.allowance.delayed(at)
+		return
+	}
 	p.allowance.succeeded(p.inFlight)
 }
 
 // noteAnswer notes the answer to a statement.
 func (p *pool) noteAnswer(code Code, took time.Duration) {
 	if code.NotRun() {
-		p.answered()
+		p.answered(took)
 		return
 	}
 	p.succeeded(took)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -40,6 +40,9 @@
 	grantDue bool
 
 	serviceTime float64 // milliseconds
+	// least is the least time that an answer took lately: the way there and
+	// back.
+	least       time.Duration
 	usedAt      time.Time
 	answeredAt  time.Time
 	checking    bool
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -276,7 +276,7 @@
 		pl.discard(c, askedAt)
 		return
 	}
-	pl.answered()
+	pl.answered(now().Sub(askedAt))
 	if answers[0].Code == CodeNone {
 		g.positions.add(answers[0].Position, askedAt)
 	}
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -192,7 +192,7 @@
 		a := retry(reasonConnectionLost, 0)
 		return nil, &a
 	}
-	pl.answered()
+	pl.answered(now().Sub(askedAt))
 	if answers[0].Code != CodeNone {
 		a := s.notRun(c, answers[0])
 		return nil, &a
