--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -58,10 +59,16 @@
 	return now().Sub(s.leaderAt)
 }
 
-// join asks the peers until one has an answer. It reports whether this host is
-// not needed.
+// maxAsked bounds the peers that are asked in one round: on a large site most of
+// the seeds only stand by, and name the members.
+const maxAsked = 5
+
+// join asks some of the peers until one has an answer. It reports whether this
+// host is not needed.
 func (s *Server) join(ctx context.Context) (standsBy bool) {
-	for _, address := range s.peerAddresses() {
+	peers := s.peerAddresses()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, address := range peers[:min(len(peers), maxAsked)] {
 		response, err := s.askToJoin(ctx, address)
 		if err != nil {
 			s.log.Info("not joined", "through", address, "error", err)
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -121,9 +122,16 @@
 	return bootclock.Since(w.heardAt)
 }
 
+// maxSeeds bounds the seeds among the candidates: on a large site there are many,
+// and most of them only stand by.
+const maxSeeds = 5
+
+// candidates are the control hosts that are known and some of the seeds.
 func (w *Watch) candidates() []string {
+	seeds := slices.Clone(w.o.Seeds())
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	w.mu.Lock()
-	addresses := slices.Concat(w.parts.ControlHosts, w.learned, w.o.Seeds())
+	addresses := slices.Concat(w.parts.ControlHosts, w.learned, seeds[:min(len(seeds), maxSeeds)])
 	w.mu.Unlock()
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
