--- /dev/null
+++ b/sitecontrol/document.go
@@ -0,0 +1,39 @@
+package sitecontrol
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"lovageslip/fault"
+)
+
+// pack compresses a document for the log, whose entries are limited. Documents
+// repeat the names of their fields for each route and shrink to a tenth.
+func pack(document []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(document); err != nil {
+		return nil, &fault.IO{Op: "compress document", Err: err}
+	}
+	if err := w.Close(); err != nil {
+		return nil, &fault.IO{Op: "compress document", Err: err}
+	}
+	return b.Bytes(), nil
+}
+
+// unpack returns a document as it was sent; nil if there is none.
+func unpack(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, &fault.IO{Op: "read stored document", Err: err}
+	}
+	document, err := io.ReadAll(r)
+	if err != nil {
+		return nil, &fault.IO{Op: "read stored document", Err: err}
+	}
+	return document, nil
+}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -192,7 +192,11 @@
 		s.log.Info("configuration is not newer than the stored one", "version", config.Version, "stored", state.Config.Version)
 		return nil
 	}
-	command := &pb.StoreConfig{Config: config, Document: document}
+	packed, err := pack(document)
+	if err != nil {
+		return err
+	}
+	command := &pb.StoreConfig{Config: config, Document: packed}
 	result, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_StoreConfig{StoreConfig: command}})
 	if err != nil {
 		s.log.Warn("configuration not stored", "version", config.Version, "error", err)
@@ -203,14 +207,14 @@
 }
 
 // Document returns the newest configuration as it was sent; nil if there is
-// none. Its errors are those of consensus.Log.ReadIndex.
+// none. Its errors are those of consensus.Log.ReadIndex, and *fault.IO.
 func (s *Server) Document(ctx context.Context) ([]byte, error) {
 	if _, err := s.o.Consensus.ReadIndex(ctx); err != nil {
 		s.log.Warn("configuration not read", "error", err)
 		return nil, err
 	}
 	state, _, _ := s.o.State.Current()
-	return state.Document, nil
+	return unpack(state.Document)
 }
 
 // LeaderHost returns the IP of the leading control host, if it is known.
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -1,7 +1,9 @@
 package sitecontrol
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -85,6 +87,18 @@
 	})
 }
 
+// Guards against a configuration of a large site that is refused because a log
+// entry cannot hold it: without its first configuration a site serves nothing.
+func TestLargeConfigurationIsStored(t *testing.T) {
+	hosts := cluster(t, 3, newFakeUpstreams())
+	var large strings.Builder
+	for i := 0; large.Len() < 2<<20; i++ {
+		fmt.Fprintf(&large, `{"name":"r-%d","host":"db%x","type":"bounded_staleness","timeout_ms":1000},`, i, i*7919)
+	}
+	store(t, hosts[0], 7, large.String())
+	assert.Equal(t, document(hosts[1]), large.String())
+}
+
 // isVoter reports whether a host counts as a voter with the data folder that it
 // has now.
 func isVoter(h, voter *testHost) bool {
