--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -168,8 +168,8 @@
 }
 
 // acquire returns a connection that counts as in flight, waiting for its turn
-// until the limit has passed or ctx ends. Its errors are *DialRefused, *fault.IO and *Refusal; nothing
-// has run.
+// until the limit has passed or ctx ends. Its errors are *DialRefused, *fault.IO
+// and *Refusal; nothing has run.
 func (p *pool) acquire(ctx context.Context, t ticket, limit time.Duration) (*conn, error) {
 	c, w, err := p.join(t)
 	if w == nil {
