--- a/control/watch.go
+++ b/control/watch.go
@@ -10,6 +10,7 @@
 	"lovageslip/control/controlclient"
 	"lovageslip/controlstate"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 )
 
 // watchSpacing is the least time between two messages with changes, so that a
@@ -52,8 +53,8 @@
 				return err
 			}
 			sent = next
-			if err := sleep(ctx, watchSpacing); err != nil {
-				return err
+			if !pause.For(ctx, watchSpacing) {
+				return ctx.Err()
 			}
 			continue
 		}
@@ -69,17 +70,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // deltaCache shares a difference among the streams that are at one version.
 type deltaCache struct {
 	// mu guards the fields below.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,6 +7,7 @@
 	"lovageslip/class"
 	"lovageslip/exchange"
 	"lovageslip/fault"
+	"lovageslip/internal/pause"
 	"lovageslip/registry"
 	"lovageslip/route"
 	"lovageslip/upstream"
@@ -124,14 +125,10 @@
 		return nil
 	}
 	a.asked.SinceMin += delay
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, delay) {
 		return cancelled()
 	}
+	return nil
 }
 
 func cancelled() error {
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"lovageslip/fault"
+	"lovageslip/internal/pause"
 	"lovageslip/logging"
 	"lovageslip/metrics"
 )
@@ -173,14 +174,7 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, wait)
 }
 
 // Setup creates the table that the profiles use and fills it.
--- a/member/agent.go
+++ b/member/agent.go
@@ -18,6 +18,7 @@
 	"lovageslip/controlstate"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/internal/pause"
 	"lovageslip/logging"
 	"lovageslip/metrics"
 	"lovageslip/registry"
@@ -193,12 +194,7 @@
 // pause waits for a random time that grows with the failures in a row.
 func (a *Agent) pause(ctx context.Context, failures int) {
 	mean := a.timing.Retry * time.Duration(min(1<<min(failures-1, 16), maxRetryFactor))
-	timer := time.NewTimer(mean/2 + rand.N(mean))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, mean/2+rand.N(mean))
 }
 
 func (a *Agent) client(i int) lovageslipv1connect.ControlServiceClient {
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -9,6 +9,7 @@
 	"lovageslip/class"
 	"lovageslip/exchange"
 	"lovageslip/fault"
+	"lovageslip/internal/pause"
 	"lovageslip/upstream"
 )
 
@@ -103,14 +104,7 @@
 // keepAlive sends a query now and then while a transaction rests, so that the
 // server ends only the transactions of owners that do not run.
 func (s *stream) keepAlive(conn upstream.Conn) {
-	for {
-		timer := time.NewTimer(keepAliveInterval)
-		select {
-		case <-timer.C:
-		case <-s.ctx.Done():
-			timer.Stop()
-			return
-		}
+	for pause.For(s.ctx, keepAliveInterval) {
 		if !s.keepAliveOnce(conn) {
 			return
 		}
--- a/owner/unit.go
+++ b/owner/unit.go
@@ -9,6 +9,7 @@
 
 	"lovageslip/admission"
 	"lovageslip/exchange"
+	"lovageslip/internal/pause"
 	"lovageslip/pool"
 	"lovageslip/registry"
 )
@@ -60,7 +61,7 @@
 		if _, inForce := u.owner.opts.Leases.Lease(u.name); !inForce {
 			u.pool.CloseIdle()
 		}
-		pause(u.ctx, pollInterval)
+		pause.For(u.ctx, pollInterval)
 	}
 }
 
--- a/owner/watcher.go
+++ b/owner/watcher.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lovageslip/internal/pause"
 	"lovageslip/upstream"
 )
 
@@ -42,16 +43,7 @@
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.session(ctx)
-		pause(ctx, rewatchPause/2+rand.N(rewatchPause))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, rewatchPause/2+rand.N(rewatchPause))
 	}
 }
 
@@ -92,7 +84,7 @@
 // idle returns once something is needed or the interval has passed.
 func (w *watcher) idle(ctx context.Context, began time.Time) {
 	if status, position := w.confirmer.demand(w); status || position != (upstream.Position{}) {
-		pause(ctx, statusSpacing-time.Since(began))
+		pause.For(ctx, statusSpacing-time.Since(began))
 		return
 	}
 	timer := time.NewTimer(watchInterval)
