Sort the groups of a view once; one search for an upstream by its id

A view never changes, but Groups sorted it at each call, and the proxy calls it some forty times a second to look for due checks, due samples and lost primaries. No behaviour changes.

--- a/site/state.go
+++ b/site/state.go
@@ -200,8 +200,10 @@
 }
 
 // Upstream returns the record of an upstream, or nil if there is none.
-func Upstream(state *pb.SiteState, id string) *pb.SiteUpstream {
-	for _, u := range state.Upstreams {
+func Upstream(state *pb.SiteState, id string) *pb.SiteUpstream { return find(state.Upstreams, id) }
+
+func find(upstreams []*pb.SiteUpstream, id string) *pb.SiteUpstream {
+	for _, u := range upstreams {
 		if u.Id == id {
 			return u
 		}
--- a/site/view.go
+++ b/site/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	routes map[string]*pb.SiteRoute
 	groups map[string]*GroupView
+	sorted []*GroupView // by name
 }
 
 // GroupView is one group in a view.
@@ -48,25 +50,11 @@
 	return g, ok
 }
 
-// Groups returns all groups, sorted by name.
-func (v *View) Groups() []*GroupView {
-	groups := make([]*GroupView, 0, len(v.groups))
-	for _, g := range v.groups {
-		groups = append(groups, g)
-	}
-	slices.SortFunc(groups, func(a, b *GroupView) int { return cmp.Compare(a.Name, b.Name) })
-	return groups
-}
+// Groups returns all groups, sorted by name. The caller must not modify the slice.
+func (v *View) Groups() []*GroupView { return v.sorted }
 
 // Upstream returns an upstream of the group, or nil.
-func (g *GroupView) Upstream(id string) *pb.SiteUpstream {
-	for _, u := range g.Upstreams {
-		if u.Id == id {
-			return u
-		}
-	}
-	return nil
-}
+func (g *GroupView) Upstream(id string) *pb.SiteUpstream { return find(g.Upstreams, id) }
 
 // ViewParts are the parts of a view; each may come from another update.
 type ViewParts struct {
@@ -98,6 +86,7 @@
 		v.groups[g.Name] = &GroupView{Name: g.Name, MaxConnections: int(g.MaxConnections)}
 	}
 	v.addUpstreams(p)
+	v.sorted = slices.SortedFunc(maps.Values(v.groups), func(a, b *GroupView) int { return cmp.Compare(a.Name, b.Name) })
 	return v
 }
 
