--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -24,6 +24,32 @@
 	removeAfter = time.Second
 )
 
+// InitialMembers returns the hosts that form the cluster at the first start of a
+// site, and nil for any other host, which asks to be added. The seeds of the
+// first start are the same on all hosts.
+func InitialMembers(address string, seeds []string) []consensus.Member {
+	chosen := founders(seeds)
+	if !slices.Contains(chosen, address) {
+		return nil
+	}
+	var members []consensus.Member
+	for _, seed := range chosen {
+		members = append(members, consensus.Member{Name: seed, Address: seed})
+	}
+	return members
+}
+
+// founders returns as many seeds as may be members, spread over the sorted list,
+// so that they are in different data centres.
+func founders(seeds []string) []string {
+	sorted := slices.Sorted(slices.Values(seeds))
+	count := min(len(sorted), maxMembers)
+	for i := range count {
+		sorted[i] = sorted[i*len(sorted)/count]
+	}
+	return sorted[:count]
+}
+
 // runJoin asks for membership while this host hears from no leader: it is new,
 // has lost its disk, or was replaced while it was away.
 func (s *Server) runJoin(ctx context.Context) {
--- a/sitecontrol/standby.go
+++ b/sitecontrol/standby.go
@@ -16,10 +16,10 @@
 	// need, so that a successor can join before the host that it replaces
 	// ends.
 	extraMembers = 2
-	// MaxMembers bounds the members, whatever losses are to be tolerated.
+	// maxMembers bounds the members, whatever losses are to be tolerated.
 	// With 200 of them, the control hosts of a quiet site moved 18 MB a
 	// second between regions.
-	MaxMembers = 9
+	maxMembers = 9
 	// standbyInterval is how often a host that stands by asks whether it is
 	// needed.
 	standbyInterval = 2 * time.Second
@@ -78,12 +78,12 @@
 			running++
 		}
 	}
-	return running < min(s.neededVoters()+extraMembers, MaxMembers)
+	return running < min(s.neededVoters()+extraMembers, maxMembers)
 }
 
 // neededVoters is the smallest number of voters of which a majority is left
-// after the tolerated losses, or MaxMembers.
-func (s *Server) neededVoters() int { return min(2*s.o.MaxLost+1, MaxMembers) }
+// after the tolerated losses, or maxMembers.
+func (s *Server) neededVoters() int { return min(2*s.o.MaxLost+1, maxMembers) }
 
 // knownMembers returns the members and their leader, as far as this host knows.
 func (s *Server) knownMembers() (members []string, leader string) {
--- a/sitecontrol/standby_test.go
+++ b/sitecontrol/standby_test.go
@@ -56,7 +56,7 @@
 // Guards against a tolerance that asks for more voters than a leader can serve.
 func TestMembersAreBounded(t *testing.T) {
 	s := &Server{o: Options{MaxLost: 99}}
-	members := make([]consensus.MemberStatus, MaxMembers-1)
+	members := make([]consensus.MemberStatus, maxMembers-1)
 	assert.Assert(t, s.needs("new", members))
 	assert.Assert(t, !s.needs("new", append(members, consensus.MemberStatus{})))
 	members[0].Silent = 2 * removeAfter
