--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -93,7 +93,7 @@
 	hosts := cluster(t, 3, newFakeUpstreams())
 	var large strings.Builder
 	for i := 0; large.Len() < 2<<20; i++ {
-		fmt.Fprintf(&large, `{"name":"r-%d","host":"db%x","type":"bounded_staleness","timeout_ms":1000},`, i, i*7919)
+		fmt.Fprintf(&large, `{"name":"r-%d","host":"db%x","freshness":"bounded","timeout":1000},`, i, i*7919)
 	}
 	store(t, hosts[0], 7, large.String())
 	assert.Equal(t, document(hosts[1]), large.String())
