--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -99,7 +99,7 @@
 	}
 	switch {
 	case g.GetOrderOpen():
-		w.pursueOrder(ctx, g, others)
+		w.pursueOrder(ctx, g)
 	case primary == nil:
 		w.findPrimary(ctx, others, g)
 	case primary.Leaving:
@@ -365,7 +365,7 @@
 
 // pursueOrder follows an order until an upstream leads or the order has taken
 // too long. Giving it again is safe: the token lets it take effect once.
-func (w *groupWatch) pursueOrder(ctx context.Context, g *pb.SiteGroupState, others []*pb.SiteUpstream) {
+func (w *groupWatch) pursueOrder(ctx context.Context, g *pb.SiteGroupState) {
 	if w.orderedAt.IsZero() {
 		w.orderedAt = now()
 	}
