One cache of clients of the site service

Control hosts and proxies each kept a map of clients by address under their own lock. Both now use sitecontrol.Clients. No behaviour changes.

--- a/sitecontrol/announce.go
+++ b/sitecontrol/announce.go
@@ -33,7 +33,7 @@
 		return noLeader()
 	}
 	request := &pb.AnnounceUpstreamRequest{Upstream: u, Ended: ended}
-	if _, err := s.client(address).Announce(ctx, connect.NewRequest(request)); err != nil {
+	if _, err := s.clients.At(address).Announce(ctx, connect.NewRequest(request)); err != nil {
 		return &fault.IO{Op: "pass announcement to the leader", Err: err}
 	}
 	return nil
--- /dev/null
+++ b/sitecontrol/clients.go
@@ -0,0 +1,35 @@
+package sitecontrol
+
+import (
+	"net/http"
+	"sync"
+
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+)
+
+// Clients are clients of the site service, one for each internal address. It is
+// safe for concurrent use.
+type Clients struct {
+	http *http.Client
+
+	// mu guards byAddress.
+	mu        sync.Mutex
+	byAddress map[string]lovageslipv1connect.SiteServiceClient
+}
+
+// NewClients returns clients that send their calls through one HTTP client.
+func NewClients(client *http.Client) *Clients {
+	return &Clients{http: client, byAddress: make(map[string]lovageslipv1connect.SiteServiceClient)}
+}
+
+// At returns the client of the host at an address.
+func (c *Clients) At(address string) lovageslipv1connect.SiteServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.byAddress[address]
+	if !ok {
+		client = lovageslipv1connect.NewSiteServiceClient(c.http, "http://"+address)
+		c.byAddress[address] = client
+	}
+	return client
+}
--- a/sitecontrol/membership.go
+++ b/sitecontrol/membership.go
@@ -119,7 +119,7 @@
 func (s *Server) askToJoin(ctx context.Context, address string) (*pb.JoinResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	response, err := s.client(address).Join(ctx, connect.NewRequest(&pb.JoinRequest{Address: s.o.Address}))
+	response, err := s.clients.At(address).Join(ctx, connect.NewRequest(&pb.JoinRequest{Address: s.o.Address}))
 	if err != nil {
 		return nil, err
 	}
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, err := s.client(address).Report(callCtx, connect.NewRequest(sum))
+		_, err := s.clients.At(address).Report(callCtx, connect.NewRequest(sum))
 		cancel()
 		if err != nil {
 			s.metrics.Counter("report_relays_failed_total").Inc(1)
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -98,11 +98,12 @@
 	o       Options
 	log     *slog.Logger
 	metrics tally.Scope
+	clients *Clients
 
+	// admitting lets one host join at a time.
 	admitting sync.Mutex
 	// mu guards the fields below.
-	mu      sync.Mutex
-	clients map[string]lovageslipv1connect.SiteServiceClient
+	mu sync.Mutex
 	// reports are the newest ones by reporter.
 	reports map[string]report
 	// seen is when and with what each upstream last announced itself to
@@ -136,7 +137,7 @@
 		o:        o,
 		log:      logging.For(o.Log, "control"),
 		metrics:  metrics.OrNoop(o.Metrics).SubScope("control"),
-		clients:  make(map[string]lovageslipv1connect.SiteServiceClient),
+		clients:  NewClients(o.HTTPClient),
 		reports:  make(map[string]report),
 		seen:     make(map[string]announcement),
 		sampled:  make(map[string]*sampledGroup),
@@ -149,22 +150,6 @@
 	return lovageslipv1connect.NewSiteServiceHandler(s)
 }
 
-func (s *Server) client(address string) lovageslipv1connect.SiteServiceClient {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c, ok := s.clients[address]
-	if !ok {
-		c = NewClient(s.o.HTTPClient, address)
-		s.clients[address] = c
-	}
-	return c
-}
-
-// NewClient returns a client of the site service at an internal address.
-func NewClient(client *http.Client, address string) lovageslipv1connect.SiteServiceClient {
-	return lovageslipv1connect.NewSiteServiceClient(client, "http://"+address)
-}
-
 // propose logs a command and returns the result of its application. Errors are
 // those of consensus.Log.Propose.
 func (s *Server) propose(ctx context.Context, c *pb.SiteCommand) (*pb.SiteCommandResult, error) {
--- a/sitecontrol/standby.go
+++ b/sitecontrol/standby.go
@@ -43,7 +43,7 @@
 		return connect.NewResponse(&pb.JoinResponse{Members: members, Leader: leader}), nil
 	}
 	request := &pb.JoinRequest{Address: r.Msg.Address, PassedOn: true}
-	response, err := s.client(leader).Join(ctx, connect.NewRequest(request))
+	response, err := s.clients.At(leader).Join(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, unavailable(err)
 	}
--- a/sitecontrol/standby_test.go
+++ b/sitecontrol/standby_test.go
@@ -87,7 +87,7 @@
 // watchedMembers returns the control hosts that a Watch on a host names first.
 func watchedMembers(t *testing.T, h *testHost) []string {
 	t.Helper()
-	client := NewClient(tlsconf.HTTPClient(nil), h.address)
+	client := NewClients(tlsconf.HTTPClient(nil)).At(h.address)
 	stream, err := client.Watch(context.Background(), connect.NewRequest(&pb.WatchSiteRequest{Proxy: "p"}))
 	assert.NilError(t, err)
 	defer stream.Close()
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -21,7 +21,6 @@
 	"lovageslip/consensus"
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
-	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/internal/pause"
 	"lovageslip/logging"
 	"lovageslip/metrics"
@@ -68,10 +67,10 @@
 	o       Options
 	log     *slog.Logger
 	metrics tally.Scope
+	clients *sitecontrol.Clients
 
 	// mu guards the fields below.
 	mu      sync.Mutex
-	clients map[string]lovageslipv1connect.SiteServiceClient
 	parts   site.ViewParts
 	current string // address of the control host that is watched
 	heardAt time.Time
@@ -83,7 +82,7 @@
 func New(o Options) *Watch {
 	return &Watch{
 		o:       o,
-		clients: make(map[string]lovageslipv1connect.SiteServiceClient),
+		clients: sitecontrol.NewClients(o.HTTPClient),
 		log:     logging.For(o.Log, "watch"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("watch"),
 	}
@@ -208,7 +207,7 @@
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
 	defer silence.Stop()
-	client := w.client(address)
+	client := w.clients.At(address)
 	request := connect.NewRequest(&pb.WatchSiteRequest{Proxy: w.o.Name, DataCentre: w.o.DataCentre})
 	stream, err := client.Watch(ctx, request)
 	if err != nil {
@@ -308,7 +307,7 @@
 	request.Untried = complaints(untried)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if _, err := w.client(address).Report(ctx, connect.NewRequest(request)); err != nil {
+	if _, err := w.clients.At(address).Report(ctx, connect.NewRequest(request)); err != nil {
 		w.metrics.Counter("reports_failed_total").Inc(1)
 		return false
 	}
@@ -334,7 +333,7 @@
 		return nil, &fault.NotRun{Reason: consensus.ReasonNoLeader, Detail: "no control host is known"}
 	}
 	calledAt := bootclock.Now()
-	response, err := w.client(address).Positions(ctx, connect.NewRequest(&pb.PositionsRequest{Groups: groups}))
+	response, err := w.clients.At(address).Positions(ctx, connect.NewRequest(&pb.PositionsRequest{Groups: groups}))
 	if err != nil {
 		return nil, &fault.IO{Op: "ask for positions", Err: err}
 	}
@@ -348,14 +347,3 @@
 	}
 	return positions, nil
 }
-
-func (w *Watch) client(address string) lovageslipv1connect.SiteServiceClient {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	c, ok := w.clients[address]
-	if !ok {
-		c = sitecontrol.NewClient(w.o.HTTPClient, address)
-		w.clients[address] = c
-	}
-	return c
-}
