--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -29,21 +31,16 @@
 	dropped atomic.Int64
 	stopped chan struct{}
 	close   sync.Once
-
-	// mu guards the fields below.
-	mu       sync.Mutex
-	budget   float64 // bytes
-	budgetAt time.Time
+	budget  *rate.Limiter // in bytes
 }
 
 // NewBounded returns a writer in front of out.
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{
-		out:      out,
-		lines:    make(chan []byte, boundedQueue),
-		stopped:  make(chan struct{}),
-		budget:   boundedBurst,
-		budgetAt: time.Now(),
+		out:     out,
+		lines:   make(chan []byte, boundedQueue),
+		stopped: make(chan struct{}),
+		budget:  rate.NewLimiter(boundedRate, boundedBurst),
 	}
 	go b.run()
 	return b
@@ -52,7 +49,7 @@
 // Write takes one line. It always reports success: a logger cannot do anything
 // about a line that was dropped.
 func (b *Bounded) Write(line []byte) (int, error) {
-	if !b.spend(len(line)) {
+	if !b.budget.AllowN(time.Now(), len(line)) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
@@ -64,19 +61,6 @@
 	return len(line), nil
 }
 
-func (b *Bounded) spend(bytes int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	at := time.Now()
-	b.budget = min(b.budget+at.Sub(b.budgetAt).Seconds()*boundedRate, boundedBurst)
-	b.budgetAt = at
-	if b.budget < float64(bytes) {
-		return false
-	}
-	b.budget -= float64(bytes)
-	return true
-}
-
 // Dropped returns how many lines were dropped.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
