Wake the replication to a member that answers from another data folder

Cause: a leader that learns from a heartbeat that a member runs on another data folder sets what the member holds to nothing, but does not wake its replication, which sleeps while it has nothing to send. The wiped member then stays empty until the next proposal, and the loss of a second host may lose entries. Ruled out: the answers of the wiped host (its first response names the new folder). Test: TestWipedHostIsFilledWithoutProposal waits until the leader has nothing to send before it wipes the host. Red without the change: nothing arrives in 60 s.

--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -93,6 +93,37 @@
 	wiped.awaitRead(14)
 }
 
+// Guards against a wiped host that stays empty until the next proposal, so that
+// the loss of a second host loses entries. The leader learns of the new data
+// folder while its replication to the host has nothing to send.
+func TestWipedHostIsFilledWithoutProposal(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.awaitLeader()
+	leader.propose(11)
+	wiped := c.others(leader)[0]
+	waitFor(t, "the leader to have nothing to send to the host", func() bool { return leader.isReplicatedTo(wiped) })
+	wiped.stop()
+	wiped.wipe()
+	wiped.start()
+	waitFor(t, "the wiped host to apply the entries", func() bool {
+		value, _ := wiped.state.read()
+		return value == 11
+	})
+}
+
+// isReplicatedTo reports whether this host leads and the peer has acknowledged its
+// whole log and commit index.
+func (h *host) isReplicatedTo(peer *host) bool {
+	n := h.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leadership == nil {
+		return false
+	}
+	p := n.leadership.peers[peer.options.Name]
+	return p != nil && p.matchIndex == n.log.lastIndex() && p.ackedCommit == n.commitIndex
+}
+
 // checkWipedHostGivesNoVote stops b and checks that a can't be elected with the
 // vote of c, the wiped host.
 func checkWipedHostGivesNoVote(t *testing.T, c *cluster, a, b *host) {
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -359,10 +359,12 @@
 }
 
 // setIncarnationLocked records the data folder that a peer answers from, when it
-// is not known yet or has changed. What another folder held no longer counts.
+// is not known yet or has changed. What another folder held no longer counts, so
+// the replication is woken to find out what this one holds.
 func (n *Node) setIncarnationLocked(p *peer, incarnation string) {
 	p.incarnation = incarnation
 	p.matchIndex = 0
+	notify(p.wake)
 	m := findMember(n.members, p.name)
 	if m == nil || n.logEmptyLocked() || m.Incarnation == incarnation {
 		return
