--- a/proxy/pattern_test.go
+++ b/proxy/pattern_test.go
@@ -33,7 +33,7 @@
 
 const (
 	targetWorth         = 0.9 // share of the bound; the users' target
-	targetAmplification = 1.1 // at overload; issue 11
+	targetAmplification = 1.1 // at overload; issue 20
 	targetRecovery      = time.Second
 	allSlots            = 3 * modelSlots
 )
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -137,7 +137,7 @@
 // Answer is the complete answer of an upstream to one command.
 type Answer struct {
 	// Body is the rows and the signature, or the error, as they are passed to
-	// the caller.
+	// the caller. Only the answer to a CommandForward has one.
 	Body []byte
 	Code Code
 	// State is that of the session at the upstream, and Position that of the
