Control hosts wait for room on a full disk

Any failed write made the log refuse all later calls, so the process had to end. Change: a write that the disk has no room for leaves the log usable. The host stops leading and voting, answers nothing that waits for the write, and writes again each 100 ms; entries that the quorum commits are still applied and served. A failed sync is as final as before. Ruled out: retrying a sync, because the kernel may have dropped the pages.

--- a/consensus/apply.go
+++ b/consensus/apply.go
@@ -86,7 +86,13 @@
 		n.logger.Error("state machine failed to take a snapshot; it is tried again after the next applied entries", "error", err)
 		return
 	}
-	if err := n.saveSnapshot(meta, state); err != nil {
+	err = n.saveSnapshot(meta, state)
+	switch {
+	case isNoSpace(err):
+		n.metrics.Counter("snapshots_failed_total").Inc(1)
+		n.logger.Error("disk is full, so no snapshot was saved; it is tried again after the next applied entries", "error", err)
+		return
+	case err != nil:
 		n.failStorage(err)
 		return
 	}
@@ -94,9 +100,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.snapshotIndex = meta.Index
-	if meta.Index > trailingEntries {
-		n.log.compact(meta.Index - trailingEntries)
-	}
+	n.bytesSinceSnapshot = 0
+	n.log.compact(n.log.trailingFrom(meta.Index))
 	n.queueLocked(&diskOp{compactThrough: meta.Index})
 }
 
@@ -104,7 +109,8 @@
 func (n *Node) dueSnapshot() *pb.SnapshotMeta {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.lastApplied-n.snapshotIndex < snapshotIntervalEntries || n.storageErr != nil {
+	due := n.lastApplied-n.snapshotIndex >= snapshotIntervalEntries || n.bytesSinceSnapshot >= snapshotIntervalBytes
+	if !due || n.lastApplied == n.snapshotIndex || n.storageErr != nil {
 		return nil
 	}
 	term, _ := n.log.term(n.lastApplied)
--- a/consensus/disk.go
+++ b/consensus/disk.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 	"lovageslip/wal"
 )
 
@@ -46,7 +48,9 @@
 	op := &diskOp{}
 	for _, e := range entries {
 		n.log.append(e)
-		op.records = append(op.records, entryRecord(e))
+		record := entryRecord(e)
+		op.records = append(op.records, record)
+		n.bytesSinceSnapshot += len(record.Data)
 		op.lastIndex, op.lastTerm = e.Index, e.Term
 		if e.GetMembership() != nil {
 			n.reloadMembersLocked()
@@ -81,7 +85,7 @@
 }
 
 // runDisk writes the queued operations, with one sync for all that were queued
-// since the last write. It ends at the first failure.
+// since the last write. It ends at the first failure other than a full disk.
 func (n *Node) runDisk(ctx context.Context) {
 	for {
 		ops := n.takeQueuedOps()
@@ -93,7 +97,11 @@
 				return
 			}
 		}
-		if err := n.writeOps(ops); err != nil {
+		err := n.writeOps(ctx, ops)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
 			n.failStorage(err)
 			return
 		}
@@ -109,33 +117,94 @@
 	return ops
 }
 
-func (n *Node) writeOps(ops []*diskOp) error {
+func (n *Node) writeOps(ctx context.Context, ops []*diskOp) error {
 	var records []wal.Record
-	var compact uint64
 	for _, op := range ops {
 		records = append(records, op.records...)
-		compact = max(compact, op.compactThrough)
+		n.pendingCompaction = max(n.pendingCompaction, op.compactThrough)
 		if op.hardState != nil {
 			n.preamble[1] = *op.hardState
 		}
 	}
 	if len(records) > 0 {
-		if err := n.wal.Append(records); err != nil {
+		if err := n.appendRecords(ctx, records); err != nil {
 			return err
 		}
 	}
+	return n.rotateIfDue()
+}
+
+// appendRecords writes and syncs records. While the disk is full, it waits and
+// tries again; none of the operations that wait for the records is answered
+// before that.
+func (n *Node) appendRecords(ctx context.Context, records []wal.Record) error {
+	err := n.wal.Append(records)
+	for isNoSpace(err) {
+		n.setDiskFull(err)
+		if !pause.For(ctx, diskFullRetryInterval) {
+			return ctx.Err()
+		}
+		err = n.wal.Flush()
+	}
+	if err == nil {
+		n.clearDiskFull()
+	}
+	return err
+}
+
+func isNoSpace(err error) bool {
+	var noSpace *wal.NoSpace
+	return errors.As(err, &noSpace)
+}
+
+// rotateIfDue starts a new segment if the active one is full, or if older ones can
+// be removed because a snapshot covers them. On a full disk it does neither, and
+// is tried again after the next write.
+func (n *Node) rotateIfDue() error {
+	compact := n.pendingCompaction
 	if compact > 0 {
 		n.preamble[2] = snapshotMark(compact)
 	}
-	if compact > 0 || n.wal.Full() {
-		if err := n.wal.Rotate(n.preamble); err != nil {
-			return err
-		}
+	if compact == 0 && !n.wal.Full() {
+		return nil
 	}
-	if compact > 0 {
-		return n.wal.RemoveThrough(compact)
+	err := n.wal.Rotate(n.preamble)
+	if err == nil && compact > 0 {
+		err = n.wal.RemoveThrough(compact)
+	}
+	switch {
+	case isNoSpace(err):
+		n.metrics.Counter("rotations_postponed_total").Inc(1)
+		return nil
+	case err == nil:
+		n.pendingCompaction = 0
+	}
+	return err
+}
+
+// setDiskFull makes this host stop leading and voting until clearDiskFull, because
+// it cannot keep what it would have to promise.
+func (n *Node) setDiskFull(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.diskFull {
+		return
+	}
+	n.diskFull = true
+	n.metrics.Gauge("disk_full").Update(1)
+	n.logger.Error("disk is full; this host neither leads, votes nor acknowledges entries until there is room", "error", err)
+	n.becomeFollowerLocked("")
+}
+
+func (n *Node) clearDiskFull() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.diskFull {
+		return
 	}
-	return nil
+	n.diskFull = false
+	n.metrics.Gauge("disk_full").Update(0)
+	n.logger.Info("disk has room again; this host votes and acknowledges entries")
 }
 
 func (n *Node) finishOps(ops []*diskOp) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -45,11 +45,11 @@
 func (n *Node) logEmptyLocked() bool { return n.log.lastIndex() == 0 }
 
 // canVoteLocked reports whether this host may vote: the membership names it as a
-// voter with the incarnation of its data folder. A wiped host that returns under
-// its old name has another incarnation.
+// voter with the incarnation of its data folder, and its disk can store the vote.
+// A wiped host that returns under its old name has another incarnation.
 func (n *Node) canVoteLocked() bool {
 	self := findMember(n.members, n.options.Name)
-	if n.storageErr != nil || n.closed || self == nil || !self.Voter {
+	if n.storageErr != nil || n.diskFull || n.closed || self == nil || !self.Voter {
 		return false
 	}
 	return n.logEmptyLocked() || self.Incarnation == n.incarnation
--- a/consensus/entries.go
+++ b/consensus/entries.go
@@ -96,6 +96,20 @@
 	l.baseIndex, l.baseTerm, l.baseMembers = index, term, members
 }
 
+// trailingFrom returns the index up to which the entries that a snapshot at
+// index covers can be dropped from memory, so that what stays of them is within
+// trailingEntries and trailingBytes.
+func (l *entryLog) trailingFrom(index uint64) uint64 {
+	size := 0
+	for kept := index; kept > l.baseIndex; kept-- {
+		size += proto.Size(l.entryAt(kept))
+		if index-kept >= trailingEntries || size > trailingBytes {
+			return kept
+		}
+	}
+	return l.baseIndex
+}
+
 // reset makes a snapshot the base of the log. Entries after the snapshot are kept
 // if the log holds the snapshot's last entry. It reports whether they were kept.
 func (l *entryLog) reset(meta *pb.SnapshotMeta) bool {
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -63,7 +63,7 @@
 func (n *Node) becomeLeader(term uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.term != term || n.role != roleCandidate || n.closed || n.storageErr != nil {
+	if n.term != term || n.role != roleCandidate || n.closed || n.storageErr != nil || n.diskFull {
 		return
 	}
 	n.role = roleLeader
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -66,21 +66,24 @@
 // Node is a member of the cluster. It implements Log and is safe for
 // concurrent use.
 type Node struct {
-	options        Options
-	incarnation    string
-	folder         *wal.Folder
-	wal            *wal.Log     // used only by runDisk while the node runs
-	preamble       []wal.Record // first records of each segment of wal
-	logger         *slog.Logger
-	metrics        tally.Scope
-	httpClient     connect.HTTPClient
-	cancel         context.CancelFunc
-	ctx            context.Context
-	group          conc.WaitGroup
-	diskWake       chan struct{}
-	applyWake      chan struct{}
-	storageFailed  chan struct{}
-	snapshotFileMu sync.Mutex // held while a snapshot file is read or written
+	options     Options
+	incarnation string
+	folder      *wal.Folder
+	wal         *wal.Log     // used only by runDisk while the node runs
+	preamble    []wal.Record // first records of each segment of wal
+	// pendingCompaction is the index of a saved snapshot whose segments have
+	// not been removed yet, or 0. Only runDisk uses it.
+	pendingCompaction uint64
+	logger            *slog.Logger
+	metrics           tally.Scope
+	httpClient        connect.HTTPClient
+	cancel            context.CancelFunc
+	ctx               context.Context
+	group             conc.WaitGroup
+	diskWake          chan struct{}
+	applyWake         chan struct{}
+	storageFailed     chan struct{}
+	snapshotFileMu    sync.Mutex // held while a snapshot file is read or written
 
 	// mu guards all fields below.
 	mu       sync.Mutex
@@ -99,14 +102,18 @@
 	lastApplied      uint64
 	durableIndex     uint64 // last entry that is synced to this host's disk
 	snapshotIndex    uint64
-	appliedCh        chan struct{}
-	members          *pb.Membership
+	// bytesSinceSnapshot is the size of the entries that were appended since
+	// the last snapshot or, if that is later, the start of this host.
+	bytesSinceSnapshot int
+	appliedCh          chan struct{}
+	members            *pb.Membership
 	// membersIndex is the index of the entry that set members.
 	membersIndex   uint64
 	diskOps        []*diskOp // queued for runDisk
 	lastDiskOp     *diskOp   // the latest one queued
 	hardStateOp    *diskOp   // the latest one that wrote term and vote
 	storageErr     error
+	diskFull       bool // set while writes wait for room on the disk
 	closed         bool
 	pendingRestore *restoreOp  // waits for runApply, or nil
 	leadership     *leadership // nil unless this host leads
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -6,16 +6,20 @@
 
 	"connectrpc.com/connect"
 
+	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/wal"
 )
 
 // restoreOp is a snapshot from the leader that runApply is to install.
 type restoreOp struct {
-	meta   *pb.SnapshotMeta
-	state  []byte
-	done   chan struct{} // closed by runApply
-	diskOp *diskOp       // set before done is closed, or nil if nothing was restored
+	meta  *pb.SnapshotMeta
+	state []byte
+	done  chan struct{} // closed by runApply
+	// diskOp and err are set before done is closed. diskOp is nil if nothing
+	// was restored.
+	diskOp *diskOp
+	err    error
 }
 
 // sendSnapshot sends the newest snapshot to a peer, and reports whether entries
@@ -146,6 +150,9 @@
 	case <-n.ctx.Done():
 		return noLeader("this host is stopping")
 	}
+	if restore.err != nil {
+		return &fault.NotRun{Reason: ReasonStorage, Detail: restore.err.Error(), RetryAfter: diskFullRetryInterval}
+	}
 	return n.awaitDisk(ctx, restore.diskOp)
 }
 
@@ -157,8 +164,14 @@
 	if r.meta.Index <= n.appliedIndex() {
 		return
 	}
-	if err := n.saveSnapshot(r.meta, r.state); err != nil {
-		n.failStorage(err)
+	r.err = n.saveSnapshot(r.meta, r.state)
+	switch {
+	case isNoSpace(r.err):
+		n.metrics.Counter("snapshots_failed_total").Inc(1)
+		n.logger.Error("disk is full, so the leader's snapshot was not installed; the leader sends it again", "error", r.err)
+		return
+	case r.err != nil:
+		n.failStorage(r.err)
 		return
 	}
 	start := time.Now()
--- a/consensus/timing.go
+++ b/consensus/timing.go
@@ -26,6 +26,9 @@
 	// leader.
 	leaderPollMax = 40 * time.Millisecond
 
+	// diskFullRetryInterval is how often a write is repeated on a full disk.
+	diskFullRetryInterval = 100 * time.Millisecond
+
 	gaugeInterval = time.Second
 
 	dialTimeout   = time.Second
@@ -34,10 +37,15 @@
 )
 
 const (
+	// A snapshot is due after this many entries, or sooner if they take up this
+	// many bytes. Hosts of the smallest sites have 128 MB of disk.
 	snapshotIntervalEntries = 1000
-	// trailingEntries is how many of the entries that a snapshot covers stay in
-	// memory, so that a follower that lacks only these needs no snapshot.
+	snapshotIntervalBytes   = 16 << 20
+	// trailingEntries and trailingBytes bound the entries that stay in memory
+	// although a snapshot covers them, so that a follower that lacks only these
+	// needs no snapshot.
 	trailingEntries       = 500
+	trailingBytes         = 8 << 20
 	snapshotChunkBytes    = 256 << 10
 	maxBatchEntries       = 256
 	maxBatchBytes         = 1 << 20
--- a/wal/folder.go
+++ b/wal/folder.go
@@ -114,26 +114,49 @@
 }
 
 // Write replaces a file atomically: after a crash it has either the old or the
-// new content. Write returns once the new content is synced.
+// new content. Write returns once the new content is synced. After *NoSpace the
+// file has its old content, and no space is taken up by the new one.
 func (f *Folder) Write(name string, data []byte) error {
 	temp := name + tempSuffix
 	if err := f.writeSynced(temp, data); err != nil {
 		return err
 	}
 	if err := f.fs.Rename(f.path(temp), f.path(name)); err != nil {
-		return newFileError("rename", f.path(temp), err)
+		return f.removeIfFull(temp, newWriteError("rename", f.path(temp), err))
 	}
 	return f.syncDir()
 }
 
+// discard closes and removes a file that could not be written for lack of space,
+// and returns err. A file for which err is another error is only closed.
+func (f *Folder) discard(file File, name string, err error) error {
+	if closeErr := file.Close(); closeErr != nil {
+		return newFileError("close", f.path(name), errors.Join(err, closeErr))
+	}
+	return f.removeIfFull(name, err)
+}
+
+// removeIfFull removes a file if err is *NoSpace, and returns err. If the file
+// cannot be removed, it returns that error instead.
+func (f *Folder) removeIfFull(name string, err error) error {
+	var noSpace *NoSpace
+	if !errors.As(err, &noSpace) {
+		return err
+	}
+	if removeErr := f.remove(name); removeErr != nil {
+		return removeErr
+	}
+	return err
+}
+
 func (f *Folder) writeSynced(name string, data []byte) error {
 	path := f.path(name)
 	file, err := f.fs.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return newFileError("create", path, err)
+		return newWriteError("create", path, err)
 	}
 	if _, err := file.Write(data); err != nil {
-		return errors.Join(newFileError("write", path, err), file.Close())
+		return f.discard(file, name, newWriteError("write", path, err))
 	}
 	if err := file.Sync(); err != nil {
 		return errors.Join(newFileError("sync", path, err), file.Close())
--- a/wal/log.go
+++ b/wal/log.go
@@ -51,43 +51,70 @@
 	size       int64
 	syncedFile File
 	err        error
-	buffer     []byte
+	// unwritten holds encoded records that are not synced yet. It is empty
+	// between calls, unless the last one failed with *NoSpace.
+	unwritten []byte
+	// syncedStale is set while the file "synced" does not name the active
+	// segment.
+	syncedStale bool
 }
 
 // Append writes the records in order and returns once they are synced. If it
-// fails, any part of the batch may be on the disk, and the log refuses every
-// later call with the same error.
+// fails, any part of the batch may be on the disk. After *NoSpace the records
+// stay queued, and Flush tries again; after any other error the log refuses
+// every later call with the same error.
 func (l *Log) Append(records []Record) error {
 	if l.err != nil {
 		return l.err
 	}
-	l.buffer = l.buffer[:0]
+	l.unwritten = l.encode(l.unwritten, records)
 	for _, r := range records {
-		r.Seq = l.nextSeq
-		l.nextSeq++
-		l.buffer = appendRecord(l.buffer, r)
 		l.updateMaxIndex(r.Index)
 	}
-	if err := l.writeAndSync(); err != nil {
+	return l.Flush()
+}
+
+// Flush writes and syncs the records that calls which failed with *NoSpace have
+// left queued. Errors are those of Append. Writing again is safe: nothing after
+// the synced length has been acknowledged, and the records go to the same place.
+func (l *Log) Flush() error {
+	if l.err != nil {
+		return l.err
+	}
+	if err := writeAndSync(l.active, l.activePath(), l.unwritten, l.size); err != nil {
 		return l.setErr(err)
 	}
+	l.size += int64(len(l.unwritten))
+	l.unwritten = l.unwritten[:0]
 	return l.setErr(l.writeSyncedLength())
 }
 
+// encode appends the encoded records to buffer and numbers them.
+func (l *Log) encode(buffer []byte, records []Record) []byte {
+	for _, r := range records {
+		r.Seq = l.nextSeq
+		l.nextSeq++
+		buffer = appendRecord(buffer, r)
+	}
+	return buffer
+}
+
 func (l *Log) updateMaxIndex(index uint64) {
 	last := &l.segments[len(l.segments)-1]
 	last.maxIndex = max(last.maxIndex, index)
 }
 
-func (l *Log) writeAndSync() error {
-	path := l.activePath()
-	if _, err := l.active.WriteAt(l.buffer, l.size); err != nil {
-		return newFileError("write", path, err)
+// writeAndSync writes data to a file at the given offset and syncs it.
+func writeAndSync(file File, path string, data []byte, offset int64) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if _, err := file.WriteAt(data, offset); err != nil {
+		return newWriteError("write", path, err)
 	}
-	if err := l.active.Sync(); err != nil {
+	if err := file.Sync(); err != nil {
 		return newFileError("sync", path, err)
 	}
-	l.size += int64(len(l.buffer))
 	return nil
 }
 
@@ -96,8 +123,9 @@
 func (l *Log) writeSyncedLength() error {
 	content := encodeSynced(l.segments[len(l.segments)-1].firstSeq, l.size)
 	if _, err := l.syncedFile.WriteAt(content, 0); err != nil {
-		return newFileError("write", l.folder.path(syncedFileName), err)
+		return newWriteError("write", l.folder.path(syncedFileName), err)
 	}
+	l.syncedStale = false
 	return nil
 }
 
@@ -106,45 +134,67 @@
 
 // Rotate starts a new segment with the given records and returns once they are
 // synced. The caller passes copies of those earlier records that recovery needs
-// even after RemoveThrough has deleted their segments.
+// even after RemoveThrough has deleted their segments. No records may be queued.
+// After *NoSpace the old segment stays in use, and Rotate may be called again
+// later.
 func (l *Log) Rotate(first []Record) error {
 	if l.err != nil {
 		return l.err
 	}
-	if err := l.active.Close(); err != nil {
-		return l.setErr(newFileError("close", l.activePath(), err))
+	previous, path := l.active, l.activePath()
+	if err := l.startSegment(first); err != nil {
+		return l.setErr(err)
+	}
+	if err := previous.Close(); err != nil {
+		return l.setErr(newFileError("close", path, err))
 	}
-	if err := l.startSegment(); err != nil {
+	var noSpace *NoSpace
+	if err := l.writeSyncedLength(); !errors.As(err, &noSpace) {
 		return l.setErr(err)
 	}
-	return l.Append(first)
+	// Until the next call writes it, the file names the previous segment, as
+	// after a crash at this point.
+	l.syncedStale = true
+	return nil
 }
 
-func (l *Log) startSegment() error {
-	l.segments = append(l.segments, segment{firstSeq: l.nextSeq})
-	path := l.activePath()
+// startSegment makes a new segment with the given records the active one. If the
+// disk has no room for it, nothing changes.
+func (l *Log) startSegment(first []Record) error {
+	next := segment{firstSeq: l.nextSeq}
+	for _, r := range first {
+		next.maxIndex = max(next.maxIndex, r.Index)
+	}
+	path := l.folder.path(next.name())
 	file, err := l.folder.fs.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
-		return newFileError("create", path, err)
+		return newWriteError("create", path, err)
 	}
-	l.active = file
-	l.size = 0
-	l.buffer = append(l.buffer[:0], segmentHeader(l.nextSeq)...)
-	if err := l.writeAndSync(); err != nil {
-		return err
+	content := l.encode(segmentHeader(next.firstSeq), first)
+	if err := writeAndSync(file, path, content, 0); err != nil {
+		l.nextSeq = next.firstSeq
+		return l.folder.discard(file, next.name(), err)
 	}
 	if err := l.folder.syncDir(); err != nil {
 		return err
 	}
-	return l.writeSyncedLength()
+	l.segments = append(l.segments, next)
+	l.active, l.size = file, int64(len(content))
+	return nil
 }
 
 // RemoveThrough deletes the oldest segments, as long as all their records have
-// an Index of at most index. It never deletes the active segment.
+// an Index of at most index. It never deletes the active segment. After *NoSpace
+// nothing was deleted, and the call may be repeated.
 func (l *Log) RemoveThrough(index uint64) error {
 	if l.err != nil {
 		return l.err
 	}
+	if l.syncedStale {
+		if err := l.writeSyncedLength(); err != nil {
+			return l.setErr(err)
+		}
+	}
 	// After a power failure, the file "synced" must not name a segment that is
 	// deleted here, because recovery would report damage.
 	if err := l.syncedFile.Sync(); err != nil {
@@ -167,13 +217,14 @@
 	return errors.Join(l.active.Close(), l.syncedFile.Close())
 }
 
-// setErr stores err unless an earlier error is stored, and returns the stored
-// error.
+// setErr stores err, so that the log refuses later calls, and returns it. It does
+// not store *NoSpace, after which the log stays usable.
 func (l *Log) setErr(err error) error {
-	if l.err == nil {
+	var noSpace *NoSpace
+	if !errors.As(err, &noSpace) {
 		l.err = err
 	}
-	return l.err
+	return err
 }
 
 func (l *Log) activePath() string {
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -41,9 +41,12 @@
 	if err := l.openSyncedFile(); err != nil {
 		return nil, nil, err
 	}
-	if err := l.startSegment(); err != nil {
+	if err := l.startSegment(nil); err != nil {
 		return nil, nil, errors.Join(err, l.syncedFile.Close())
 	}
+	if err := l.writeSyncedLength(); err != nil {
+		return nil, nil, errors.Join(err, l.Close())
+	}
 	return l, nil, nil
 }
 
@@ -211,10 +214,10 @@
 		from = min(r.syncedLength, int64(len(r.lastData)))
 	}
 	if err := file.Truncate(int64(len(r.lastData))); err != nil {
-		return newFileError("truncate", path, err)
+		return newWriteError("truncate", path, err)
 	}
 	if _, err := file.WriteAt(r.lastData[from:], from); err != nil {
-		return newFileError("write", path, err)
+		return newWriteError("write", path, err)
 	}
 	if err := file.Sync(); err != nil {
 		return newFileError("sync", path, err)
