--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -150,6 +150,12 @@
 	case CodeLagging:
 		c.pool.recordLagging(a.Position)
 		return retry(fault.ReasonStale, 0)
+	case CodeNoConnection:
+		c.pool.recordNotGranted(queueTimeout)
+		return retry(reasonNotGranted, jitter(busyBackoff))
+	case CodeUnreachable:
+		c.pool.recordUnreachable()
+		return retry(fault.ReasonUpstreamUnavailable, jitter(busyBackoff))
 	case CodeReadOnly:
 		return retry(fault.ReasonNotPrimary, jitter(noPrimaryBackoff))
 	default:
--- a/proxy/concurrency.go
+++ b/proxy/concurrency.go
@@ -29,6 +29,14 @@
 type concurrencyLimit struct {
 	limit       float64
 	decreasedAt time.Time
+	// fixed is set if limit never changes.
+	fixed bool
+}
+
+// unlimitedConcurrency allows as many statements as a pool of virtual connections
+// can have in flight.
+func unlimitedConcurrency() concurrencyLimit {
+	return concurrencyLimit{limit: float64(relayedQuota.limit), fixed: true}
 }
 
 func newConcurrencyLimit() concurrencyLimit { return concurrencyLimit{limit: initialConcurrency} }
@@ -53,7 +61,7 @@
 // reached, it grows by 1/limit, so by about one when as many statements as the
 // limit allows have succeeded.
 func (l *concurrencyLimit) onSuccess(inFlight int) {
-	if float64(inFlight+1) > l.limit {
+	if !l.fixed && float64(inFlight+1) > l.limit {
 		l.limit += 1 / max(l.limit, 1)
 	}
 }
@@ -62,7 +70,7 @@
 // wait in the upstream's queue. One statement is always allowed because the
 // upstream may be slow without a queue.
 func (l *concurrencyLimit) onQueueDelay(at time.Time) {
-	if l.limit <= 1 || at.Sub(l.decreasedAt) < minDecreaseInterval {
+	if l.fixed || l.limit <= 1 || at.Sub(l.decreasedAt) < minDecreaseInterval {
 		return
 	}
 	l.decreasedAt = at
@@ -71,7 +79,7 @@
 
 // onRefusal lowers the limit because the upstream had no room for a statement.
 func (l *concurrencyLimit) onRefusal(at time.Time) {
-	if at.Sub(l.decreasedAt) < minDecreaseInterval {
+	if l.fixed || at.Sub(l.decreasedAt) < minDecreaseInterval {
 		return
 	}
 	l.decreasedAt = at
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -76,6 +76,33 @@
 	return p.concurrency.limit < 1
 }
 
+// recordCommand records the answer to a command that needs no slot.
+func (p *pool) recordCommand(code Code, took time.Duration) {
+	if code.fromUpstream() {
+		p.recordAnswer(took)
+	}
+}
+
+// recordUnreachable records that a relay could not connect to the upstream. It does
+// not extend a backoff, after which the upstream is checked.
+func (p *pool) recordUnreachable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !now().Before(p.backoffUntil) {
+		p.recordFailureLocked()
+	}
+}
+
+// recordNotGranted records that a statement has waited at the relay in vain for so
+// long, so that other upstreams are chosen for the next reads.
+func (p *pool) recordNotGranted(waited time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastRunAt = now()
+	ms := p.serviceTime + float64(waited)/float64(time.Millisecond)
+	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
+}
+
 // recordAnswer records the answer to a command that needs no slot, or to a
 // statement that did not run. Its time does not depend on the upstream's load.
 func (p *pool) recordAnswer(took time.Duration) {
@@ -111,11 +138,13 @@
 
 // recordStatement records the answer to a statement, whether it ran or not.
 func (p *pool) recordStatement(code Code, took time.Duration) {
-	if code.NotRun() {
+	switch {
+	case !code.fromUpstream():
+	case code.NotRun():
 		p.recordAnswer(took)
-		return
+	default:
+		p.recordRun(took)
 	}
-	p.recordRun(took)
 }
 
 // recordBusy records that the upstream had no room for a statement, and backs off
@@ -214,6 +243,10 @@
 	p.mu.Lock()
 	u := p.siteUpstream
 	p.mu.Unlock()
+	if p.relays != nil {
+		p.checkThroughRelay(ctx, u)
+		return
+	}
 	begunAt := now()
 	opened, err := p.dialer.Dial(ctx, u)
 	p.mu.Lock()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 // concurrent use.
 type pool struct {
 	dialer Dialer
+	// relays is set if the connections lead through relays; see relayed.go.
+	relays Relays
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -94,6 +97,15 @@
 	}
 }
 
+// newRelayedPool returns a pool of virtual connections through relays, which limit
+// the load on the upstream for all proxies of the data centre together.
+func newRelayedPool(relays Relays, u *pb.SiteUpstream) *pool {
+	p := newPool(relays, u, relayedQuota)
+	p.relays = relays
+	p.concurrency = unlimitedConcurrency()
+	return p
+}
+
 func (p *pool) update(u *pb.SiteUpstream, quota connectionQuota) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,6 +188,14 @@
 // maxWait has passed or ctx ends. Its errors are *DialRefused, *fault.IO and
 // *Refusal; nothing has run after an error.
 func (p *pool) acquire(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
+	c, err := p.acquireConn(ctx, u, maxWait)
+	if err == nil {
+		c.takeTurn(u, maxWait)
+	}
+	return c, err
+}
+
+func (p *pool) acquireConn(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
 	c, w, err := p.acquireOrQueue(u)
 	if w == nil {
 		return c, err
@@ -345,14 +365,15 @@
 }
 
 // discard closes a connection on which a statement that was sent at sentAt has
-// failed. Unless the upstream has answered anything since, the failure
-// counts against it, and its idle connections are closed too, because they may
-// be dead as well.
-func (p *pool) discard(c *conn, sentAt time.Time) {
+// failed with err. Unless the upstream has answered anything since, or a relay
+// was lost, the failure counts against the upstream, and its idle connections are
+// closed too, because they may be dead as well.
+func (p *pool) discard(c *conn, sentAt time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeLocked(c)
-	if !p.lastAnswerAt.After(sentAt) {
+	var lost *RelayLost
+	if !p.lastAnswerAt.After(sentAt) && !errors.As(err, &lost) {
 		p.recordFailureLocked()
 		p.closeAllIdleLocked()
 	}
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -49,13 +49,13 @@
 	time.Sleep(time.Millisecond)
 	pl.recordRun(time.Millisecond)
 	pl.release(second)
-	pl.discard(first, sentAt)
+	pl.discard(first, sentAt, nil)
 	assert.Equal(t, len(pl.idle), 1)
 	assert.Equal(t, pl.unreachableFor(), time.Duration(0))
 
 	third, err := pl.acquire(context.Background(), highestUrgency(), time.Second)
 	assert.NilError(t, err)
-	pl.discard(third, now())
+	pl.discard(third, now(), nil)
 	assert.Equal(t, len(pl.idle), 0)
 	assert.Assert(t, pl.unreachableFor() > 0)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,7 +42,7 @@
 )
 
 // Options are the settings and dependencies that New builds a Proxy from.
-// Regions, Positions, Log and Metrics are optional.
+// Regions, Positions, Relays, Log and Metrics are optional.
 type Options struct {
 	// Name is unique among the proxies of a site. The proxies are spread over
 	// the replicas by a hash of their names.
@@ -53,8 +54,11 @@
 	// Positions asks a control host for recent positions of the groups'
 	// primaries. It is nil if there is no control host to ask.
 	Positions func(ctx context.Context, groups []string) ([]GroupPosition, error)
-	Log       *slog.Logger
-	Metrics   tally.Scope
+	// Relays leads to upstreams that accept too few connections for each
+	// proxy. If it is nil, the proxy always dials upstreams itself.
+	Relays  Relays
+	Log     *slog.Logger
+	Metrics tally.Scope
 }
 
 // Proxy runs the statements of sessions on the upstreams of its current view of
@@ -70,9 +74,12 @@
 	sampling singleflight.Group
 
 	// mu guards the fields below.
-	mu     sync.Mutex
-	pools  map[poolKey]*pool
-	groups map[string]*group
+	mu sync.Mutex
+	// pools holds the pools whose connections this proxy dials itself, and
+	// relayedPools those through relays, for upstreams with few connections.
+	pools        map[poolKey]*pool
+	relayedPools map[poolKey]*pool
+	groups       map[string]*group
 }
 
 // poolKey identifies one process of an upstream, so that a restarted upstream
@@ -94,11 +101,12 @@
 // SetView.
 func New(options Options) *Proxy {
 	p := &Proxy{
-		options: options,
-		log:     logging.For(options.Log, "proxy"),
-		metrics: metrics.OrNoop(options.Metrics).SubScope("proxy"),
-		pools:   make(map[poolKey]*pool),
-		groups:  make(map[string]*group),
+		options:      options,
+		log:          logging.For(options.Log, "proxy"),
+		metrics:      metrics.OrNoop(options.Metrics).SubScope("proxy"),
+		pools:        make(map[poolKey]*pool),
+		relayedPools: make(map[poolKey]*pool),
+		groups:       make(map[string]*group),
 	}
 	p.view.Store(site.NewView(site.ViewParts{}))
 	return p
@@ -111,43 +119,80 @@
 // others and closes those of upstreams that are gone. Open transactions keep
 // their upstream.
 func (p *Proxy) SetView(v *site.View) {
+	if p.options.Relays != nil {
+		p.options.Relays.SetPeers(v.Relays)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	inView := make(map[poolKey]bool)
+	inView, relayed := make(map[poolKey]bool), make(map[poolKey]bool)
 	for _, g := range v.Groups() {
-		quota, home := equalQuota(g.MaxConnections, v.Proxies), homeQuota(g, v.Proxies)
+		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && equalQuota(g.MaxConnections, v.Proxies).scarce
 		homeID := p.homeReplica(g)
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
-			inView[key] = true
-			quota := quota
-			if u.Id == homeID {
-				quota = home
-			}
-			if existing, ok := p.pools[key]; ok {
-				existing.update(u, quota)
-				continue
+			inView[key], relayed[key] = true, useRelays
+			p.updatePool(key, u, p.directQuota(g, u.Id == homeID, useRelays, v.Proxies))
+			if useRelays {
+				p.updateRelayedPool(key, u)
 			}
-			p.pools[key] = newPool(p.options.Dialer, u, quota)
 		}
 	}
-	for key, old := range p.pools {
-		if !inView[key] {
+	closePoolsExcept(p.pools, inView)
+	closePoolsExcept(p.relayedPools, relayed)
+	p.view.Store(v)
+}
+
+// directQuota returns the quota of the connections that this proxy dials itself.
+func (p *Proxy) directQuota(g *site.GroupView, home, useRelays bool, proxies int) connectionQuota {
+	switch {
+	case useRelays:
+		return relayQuota(g.MaxConnections, len(p.options.Regions))
+	case home:
+		return homeQuota(g, proxies)
+	default:
+		return equalQuota(g.MaxConnections, proxies)
+	}
+}
+
+func (p *Proxy) updatePool(key poolKey, u *pb.SiteUpstream, quota connectionQuota) {
+	if existing, ok := p.pools[key]; ok {
+		existing.update(u, quota)
+		return
+	}
+	p.pools[key] = newPool(p.options.Dialer, u, quota)
+}
+
+func (p *Proxy) updateRelayedPool(key poolKey, u *pb.SiteUpstream) {
+	if existing, ok := p.relayedPools[key]; ok {
+		existing.update(u, relayedQuota)
+		return
+	}
+	p.relayedPools[key] = newRelayedPool(p.options.Relays, u)
+}
+
+// closePoolsExcept closes and deletes the pools whose keys are not in keep.
+func closePoolsExcept(pools map[poolKey]*pool, keep map[poolKey]bool) {
+	for key, old := range pools {
+		if !keep[key] {
 			old.close()
-			delete(p.pools, key)
+			delete(pools, key)
 		}
 	}
-	p.view.Store(v)
 }
 
 func keyOf(u *pb.SiteUpstream) poolKey {
 	return poolKey{id: u.Id, address: u.Address, bornMs: u.BornMs}
 }
 
+// pool returns the pool through which this proxy's own callers reach an upstream.
 func (p *Proxy) pool(u *pb.SiteUpstream) (*pool, bool) {
+	key := keyOf(u)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	found, ok := p.pools[keyOf(u)]
+	if found, ok := p.relayedPools[key]; ok && p.options.Relays.HasRelay(u.Id) {
+		return found, true
+	}
+	found, ok := p.pools[key]
 	return found, ok
 }
 
@@ -297,10 +342,10 @@
 	answers, err := c.Exchange(time.Now().Add(sampleTimeout), Command{Kind: CommandBegin}, Command{Kind: CommandRollback})
 	if err != nil {
 		p.metrics.Counter("samples_failed_total").Inc(1)
-		pl.discard(c, sentAt)
+		pl.discard(c, sentAt, err)
 		return
 	}
-	pl.recordAnswer(now().Sub(sentAt))
+	pl.recordCommand(answers[0].Code, now().Sub(sentAt))
 	if answers[0].Code == CodeNone {
 		g.positions.add(answers[0].Position, sentAt)
 	}
@@ -315,7 +360,7 @@
 		c.pool.release(c)
 		return
 	}
-	p.rollBackAndReturn(c)
+	rollBackAndReturn(c)
 }
 
 // rollbackTimeout bounds a rollback, which needs no slot. A connection that
@@ -324,13 +369,13 @@
 
 // rollBackAndReturn rolls back the transaction of a connection and then returns
 // the connection to its pool. It does not block.
-func (p *Proxy) rollBackAndReturn(c *conn) {
+func rollBackAndReturn(c *conn) {
 	c.pool.suspend(c)
 	go func() {
 		sentAt := now()
 		answers, err := c.Exchange(time.Now().Add(rollbackTimeout), Command{Kind: CommandRollback})
 		if err != nil {
-			c.pool.discard(c, sentAt)
+			c.pool.discard(c, sentAt, err)
 			return
 		}
 		if answers[0].State != StateIdle {
@@ -343,10 +388,7 @@
 
 func (p *Proxy) closeIdle() {
 	p.mu.Lock()
-	pools := make([]*pool, 0, len(p.pools))
-	for _, pl := range p.pools {
-		pools = append(pools, pl)
-	}
+	pools := slices.AppendSeq(slices.Collect(maps.Values(p.pools)), maps.Values(p.relayedPools))
 	p.mu.Unlock()
 	for _, pl := range pools {
 		pl.closeIdle()
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -21,6 +21,16 @@
 	scarce bool
 }
 
+// relayedQuota is for virtual connections, which cost the upstream nothing.
+var relayedQuota = connectionQuota{limit: 64, idleTimeout: idleTimeout}
+
+// relayQuota returns the quota of a proxy that relays commands to an upstream for
+// its data centre. Each data centre has one such proxy for each upstream.
+func relayQuota(connections, dataCentres int) connectionQuota {
+	each := (connections - reservedConnections) / max(dataCentres, 1)
+	return connectionQuota{limit: max(each, scarceConnections), idleTimeout: idleTimeout}
+}
+
 const (
 	// reservedConnections of an upstream are kept for the control hosts.
 	reservedConnections = 4
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -136,13 +136,18 @@
 // read itself. A failed read may run again because it changes nothing.
 func (s *Session) finishRead(c *conn, stmt resolvedStatement, progress *readProgress, sentAt time.Time, answers []Answer, err error) attempt {
 	if err != nil {
-		c.pool.discard(c, sentAt)
+		c.pool.discard(c, sentAt, err)
 		progress.exclude(c.pool.id())
 		return retry(reasonConnectionLost, 0)
 	}
 	a, last := answers[0], answers[len(answers)-1]
 	c.pool.recordStatement(a.Code, now().Sub(sentAt))
 	switch {
+	case a.Code == CodeNoConnection:
+		// The expected wait decides whether the read waits there again.
+		failed := s.handleNotRun(c, Answer{Code: a.Code, State: last.State})
+		failed.wait = 0
+		return failed
 	case a.Code.NotRun():
 		progress.exclude(c.pool.id())
 		return s.handleNotRun(c, Answer{Code: a.Code, State: last.State, Position: a.Position})
@@ -194,12 +199,12 @@
 	sentAt := now()
 	answers, err := exchange(c, time.Now().Add(beginTimeout), s.setUp(c, stmt), begin)
 	if err != nil {
-		pl.discard(c, sentAt)
+		pl.discard(c, sentAt, err)
 		// Nothing that could take effect has been sent.
 		a := retry(reasonConnectionLost, 0)
 		return nil, &a
 	}
-	pl.recordAnswer(now().Sub(sentAt))
+	pl.recordCommand(answers[0].Code, now().Sub(sentAt))
 	if answers[0].Code != CodeNone {
 		a := s.handleNotRun(c, answers[0])
 		return nil, &a
--- /dev/null
+++ b/proxy/relayed.go
@@ -0,0 +1,300 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+)
+
+// Relays leads to upstreams through other proxies of the same data centre. Where
+// an upstream accepts too few connections for each proxy to keep its own, one
+// proxy of each data centre relays the commands of the others. Package relay
+// implements it. It is safe for concurrent use.
+type Relays interface {
+	// SetPeers replaces the list of proxies that may be relays.
+	SetPeers(peers []*pb.RelayHost)
+	// HasRelay reports whether another proxy is the relay for an upstream. If
+	// not, this proxy is the relay.
+	HasRelay(upstreamID string) bool
+	// Dial opens a virtual connection. The upstream's own errors follow with
+	// the first Exchange, as CodeNoConnection and CodeUnreachable. The error
+	// of a connection whose relay fails is *RelayLost.
+	Dial(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
+	// Check asks the relay whether it reaches an upstream. It fails if the
+	// relay itself does not answer, which is then not used for a while.
+	Check(ctx context.Context, u *pb.SiteUpstream) (Reachability, error)
+	// Avoid makes another proxy the relay for an upstream for a while.
+	Avoid(upstreamID string)
+	// DialDirectly opens a connection to the upstream itself.
+	DialDirectly(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
+}
+
+// RelayLost reports that a relay failed or was cut off while it ran a command. It
+// tells nothing about the upstream.
+type RelayLost struct {
+	Relay string
+	Err   error
+}
+
+func (e *RelayLost) Error() string {
+	return "relay " + e.Relay + " was lost: " + e.Err.Error()
+}
+
+func (e *RelayLost) Unwrap() error { return e.Err }
+
+// Reachability is what a proxy knows of its connections to an upstream.
+type Reachability int
+
+// Values of Reachability.
+const (
+	ReachabilityUnknown Reachability = iota
+	Reachable
+	Unreachable
+)
+
+// Turn places the commands of an operation in the queue of a relay.
+type Turn struct {
+	// Waited is how long the caller's operation has waited so far, and Target
+	// the time in which it should end.
+	Waited, Target time.Duration
+	// Priority is that of the route; 0 is the highest.
+	Priority uint32
+	// Expected is how long such operations take.
+	Expected time.Duration
+	// MaxWait is how long the commands may wait for a connection.
+	MaxWait time.Duration
+}
+
+// turnTaker is a Conn whose commands wait for a connection elsewhere.
+type turnTaker interface {
+	// TakeTurn sets the turn of the next commands.
+	TakeTurn(Turn)
+}
+
+func (c *conn) takeTurn(u urgency, maxWait time.Duration) {
+	taker, ok := c.Conn.(turnTaker)
+	if !ok {
+		return
+	}
+	turn := Turn{Target: u.target, Priority: u.priority, Expected: u.expected, MaxWait: maxWait}
+	if !u.arrivedAt.IsZero() {
+		turn.Waited = now().Sub(u.arrivedAt)
+	}
+	taker.TakeTurn(turn)
+}
+
+func (t Turn) urgency() urgency {
+	return urgency{arrivedAt: now().Add(-t.Waited), target: t.Target, priority: t.Priority, expected: t.Expected}
+}
+
+// checkThroughRelay finds out whether the upstream is reachable. A relay that says
+// that it is not may itself be cut off, so this proxy then tries to connect.
+func (p *pool) checkThroughRelay(ctx context.Context, u *pb.SiteUpstream) {
+	reachability, err := p.relays.Check(ctx, u)
+	reached := err == nil && reachability == Reachable
+	if err == nil && reachability == Unreachable {
+		reached, err = p.tryDirectly(ctx, u)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checking = false
+	var lost *RelayLost
+	switch {
+	case reached:
+		p.failures, p.backoffUntil = 0, time.Time{}
+		p.lastAnswerAt = now()
+	case err != nil && !errors.As(err, &lost):
+		p.recordDialFailureLocked(err)
+	}
+}
+
+// tryDirectly opens a connection to the upstream. If it succeeds, the relay cannot
+// reach an upstream that others can, and another relay is chosen.
+func (p *pool) tryDirectly(ctx context.Context, u *pb.SiteUpstream) (reached bool, err error) {
+	c, err := p.relays.DialDirectly(ctx, u)
+	if err != nil {
+		return false, err
+	}
+	p.relays.Avoid(u.Id)
+	// Nothing was sent on the connection, so an error of Close loses nothing.
+	_ = c.Close()
+	return true, nil
+}
+
+// RelayedConn runs the commands that another proxy sends on one of its virtual
+// connections. It takes a connection from this proxy's pool for each group of
+// commands, and keeps it while a transaction is open. It is used by one goroutine
+// at a time.
+type RelayedConn struct {
+	proxy *Proxy
+	key   poolKey
+	// bound is the connection that holds the open transaction, or nil.
+	bound *conn
+	// values and prepared are the session state that the other proxy has set.
+	values   map[string]string
+	prepared map[string]Command
+}
+
+// OpenRelayed returns a virtual connection to a process of an upstream.
+func (p *Proxy) OpenRelayed(id, address string, bornMs int64) *RelayedConn {
+	key := poolKey{id: id, address: address, bornMs: bornMs}
+	return &RelayedConn{proxy: p, key: key, values: map[string]string{}, prepared: map[string]Command{}}
+}
+
+// directPool returns the pool of the connections to a process of an upstream that
+// this proxy dials itself. It reports false if the view doesn't hold that process.
+func (p *Proxy) directPool(key poolKey) (*pool, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, ok := p.pools[key]
+	return found, ok
+}
+
+// Reachability returns what this proxy knows of its connections to a process of an
+// upstream.
+func (p *Proxy) Reachability(id, address string, bornMs int64) Reachability {
+	pl, ok := p.directPool(poolKey{id: id, address: address, bornMs: bornMs})
+	switch {
+	case !ok || pl.unreachableFor() > 0:
+		return Unreachable
+	case pl.sinceAnswer() < stalledAfter:
+		return Reachable
+	default:
+		return ReachabilityUnknown
+	}
+}
+
+// Bound reports whether a transaction is open.
+func (r *RelayedConn) Bound() bool { return r.bound != nil }
+
+// Run runs a group of commands and returns their answers. They may wait for a
+// connection as turn says, and then take up to timeout. If none was granted, all
+// answers carry CodeNoConnection or CodeUnreachable, and nothing has run. After an
+// error whether they ran is unknown, and an open transaction is rolled back.
+func (r *RelayedConn) Run(ctx context.Context, turn Turn, timeout time.Duration, commands []Command) ([]Answer, error) {
+	settings := r.applySettings(commands)
+	answers := make([]Answer, settings, len(commands))
+	for i := range answers {
+		answers[i].State = StateIdle
+	}
+	commands = commands[settings:]
+	if len(commands) == 0 {
+		return answers, nil
+	}
+	if err := r.bind(ctx, turn); err != nil {
+		return append(answers, notConnected(err, len(commands))...), nil
+	}
+	run, err := r.exchange(timeout, commands)
+	return append(answers, run...), err
+}
+
+// bind takes a connection from the pool unless a transaction holds one.
+func (r *RelayedConn) bind(ctx context.Context, turn Turn) error {
+	if r.bound != nil {
+		r.bound.pool.resume(r.bound)
+		return nil
+	}
+	pl, ok := r.proxy.directPool(r.key)
+	if !ok {
+		return upstreamGone()
+	}
+	c, err := pl.acquire(ctx, turn.urgency(), turn.MaxWait)
+	r.bound = c
+	return err
+}
+
+// applySettings applies the commands at the start of a group that set session
+// values or prepare statements, and returns their number. The upstream gets them
+// with the next statement that needs them.
+func (r *RelayedConn) applySettings(commands []Command) int {
+	for i, c := range commands {
+		switch c.Kind {
+		case CommandReset:
+			clear(r.values)
+			clear(r.prepared)
+		case CommandSet:
+			r.values[c.Name] = c.Value
+		case CommandPrepare:
+			r.prepared[c.Name] = c
+		default:
+			return i
+		}
+	}
+	return len(commands)
+}
+
+// notConnected returns the answers to n commands for which the pool gave no
+// connection.
+func notConnected(err error, n int) []Answer {
+	code := CodeUnreachable
+	var refused *DialRefused
+	var refusal *Refusal
+	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream || errors.As(err, &refusal) && refusal.Reason == reasonNotGranted {
+		code = CodeNoConnection
+	}
+	answers := make([]Answer, n)
+	for i := range answers {
+		answers[i] = Answer{Code: code, State: StateIdle}
+	}
+	return answers
+}
+
+// exchange runs the commands on the bound connection and releases it unless a
+// transaction is open afterwards.
+func (r *RelayedConn) exchange(timeout time.Duration, commands []Command) ([]Answer, error) {
+	c := r.bound
+	sentAt := now()
+	answers, err := exchange(c, time.Now().Add(timeout), r.setUp(c, commands), commands...)
+	if err != nil {
+		r.bound = nil
+		c.pool.discard(c, sentAt, err)
+		return nil, &fault.IO{Op: "relay to upstream", Err: err}
+	}
+	c.pool.recordRelayed(commands[0], answers[0].Code, now().Sub(sentAt))
+	if answers[len(answers)-1].State == StateIdle {
+		r.bound = nil
+		c.pool.release(c)
+	} else {
+		c.pool.suspend(c)
+	}
+	return answers, nil
+}
+
+// recordRelayed records the answer to the first command of a group that was run
+// for another proxy.
+func (p *pool) recordRelayed(command Command, code Code, took time.Duration) {
+	if command.Kind != CommandForward {
+		p.recordCommand(code, took)
+		return
+	}
+	p.recordStatement(code, took)
+	if code == CodeBusy {
+		p.recordBusy(busyBackoff)
+	}
+}
+
+// setUp returns the commands that give a connection the session state that the
+// commands need.
+func (r *RelayedConn) setUp(c *conn, commands []Command) []Command {
+	setUp := setValues(c, r.values)
+	for _, command := range commands {
+		definition, ok := r.prepared[command.Name]
+		if command.Kind != CommandForward || command.Name == "" || !ok || c.prepared[command.Name] {
+			continue
+		}
+		setUp = append(setUp, definition)
+		c.prepared[command.Name] = true
+	}
+	return setUp
+}
+
+// Close ends the virtual connection and rolls an open transaction back.
+func (r *RelayedConn) Close() {
+	if r.bound != nil {
+		rollBackAndReturn(r.bound)
+		r.bound = nil
+	}
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -174,10 +174,7 @@
 // setUp returns the commands that give a connection the session's values and the
 // prepared statement that is executed.
 func (s *Session) setUp(c *conn, stmt resolvedStatement) []Command {
-	var commands []Command
-	if !maps.Equal(c.values, s.values) {
-		commands = s.setValues(c)
-	}
+	commands := setValues(c, s.values)
 	if stmt.prepared == nil {
 		return commands
 	}
@@ -189,23 +186,26 @@
 	return commands
 }
 
-// setValues returns the commands that make the connection's values those of the
-// session. A value that the session lacks can only be cleared together with all
+// setValues returns the commands that make the connection's session values equal
+// to the given ones. A value that these lack can only be cleared together with all
 // others.
-func (s *Session) setValues(c *conn) []Command {
+func setValues(c *conn, values map[string]string) []Command {
+	if maps.Equal(c.values, values) {
+		return nil
+	}
 	var commands []Command
 	for name := range c.values {
-		if _, ok := s.values[name]; !ok {
+		if _, ok := values[name]; !ok {
 			commands = append(commands, Command{Kind: CommandReset})
 			clear(c.values)
 			clear(c.prepared)
 			break
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.values)) {
-		if value, ok := c.values[name]; !ok || value != s.values[name] {
-			commands = append(commands, Command{Kind: CommandSet, Name: name, Value: s.values[name]})
-			c.values[name] = s.values[name]
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		if value, ok := c.values[name]; !ok || value != values[name] {
+			commands = append(commands, Command{Kind: CommandSet, Name: name, Value: values[name]})
+			c.values[name] = values[name]
 		}
 	}
 	return commands
@@ -222,7 +222,7 @@
 
 // exchange sends the set-up commands and the commands together, and returns the
 // answers to the commands. A refused set-up command makes the connection
-// unusable.
+// unusable, unless a relay has refused all of them for lack of a connection.
 func exchange(c *conn, deadline time.Time, setUp []Command, commands ...Command) ([]Answer, error) {
 	c.commands = append(append(c.commands[:0], setUp...), commands...)
 	answers, err := c.Exchange(deadline, c.commands...)
@@ -232,7 +232,7 @@
 		return nil, err
 	}
 	for i, a := range answers[:len(setUp)] {
-		if a.Code != CodeNone {
+		if a.Code != CodeNone && a.Code.fromUpstream() {
 			return nil, &SetUpRefused{Upstream: c.pool.id(), Command: setUp[i].Kind, Code: a.Code}
 		}
 	}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -104,6 +104,11 @@
 	CodeReadOnly
 	CodeWrongUpstream
 	CodeTooManyConnections
+	// CodeNoConnection is a relay's: it had no connection to the upstream for
+	// the command in time.
+	CodeNoConnection
+	// CodeUnreachable is a relay's: it could not connect to the upstream.
+	CodeUnreachable
 
 	// After CodeFailed and the codes below it, the statement ran or may have
 	// run.
@@ -112,12 +117,15 @@
 	CodeOther
 )
 
+// fromUpstream reports whether the upstream itself has answered, not a relay.
+func (c Code) fromUpstream() bool { return c != CodeNoConnection && c != CodeUnreachable }
+
 // NotRun reports whether the code promises that the statement did not run.
 func (c Code) NotRun() bool { return c > CodeNone && c < CodeFailed }
 
 func (c Code) String() string {
 	names := [...]string{"none", "busy", "no_statement", "lagging", "read_only", "wrong_upstream",
-		"too_many_connections", "failed", "timeout", "other"}
+		"too_many_connections", "no_connection", "unreachable", "failed", "timeout", "other"}
 	if int(c) < len(names) {
 		return names[c]
 	}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -66,7 +66,7 @@
 // opened there.
 func (s *Session) rollBackAtUpstream(tx *transaction) {
 	if tx.conn != nil {
-		s.proxy.rollBackAndReturn(tx.conn)
+		rollBackAndReturn(tx.conn)
 	}
 	tx.conn = nil
 }
@@ -195,7 +195,7 @@
 func (s *Session) connectionLost(stmt resolvedStatement, sentAt time.Time, err error) attempt {
 	c := s.tx.conn
 	s.tx.conn = nil
-	c.pool.discard(c, sentAt)
+	c.pool.discard(c, sentAt, err)
 	s.state = StateFailed
 	s.proxy.log.Warn("transaction failed because its upstream connection was lost", "request", stmt.statement.ID, "database", s.database,
 		"upstream", c.pool.id(), "error", err)
@@ -242,7 +242,7 @@
 	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), nil, stmt.command())
 	if err != nil {
 		tx.conn = nil
-		c.pool.discard(c, sentAt)
+		c.pool.discard(c, sentAt, err)
 		s.endTransaction()
 		s.proxy.log.Warn("outcome of a commit is unknown", "request", stmt.statement.ID, "database", s.database,
 			"upstream", c.pool.id(), "after", now().Sub(sentAt), "error", err)
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -26,7 +26,7 @@
 	sentAt := now()
 	answers, err := exchange(c, time.Now().Add(timeout(route)), s.setUp(c, stmt), stmt.command())
 	if err != nil {
-		pl.discard(c, sentAt)
+		pl.discard(c, sentAt, err)
 		s.proxy.log.Warn("outcome of a write is unknown", "request", stmt.statement.ID, "database", s.database,
 			"upstream", pl.id(), "after", now().Sub(sentAt), "error", err)
 		return final(outcomeUnknown(fault.ReasonOutcomeUnknown))
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"lovageslip/bootclock"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
+	"lovageslip/logging"
+	"lovageslip/metrics"
+	"lovageslip/proxy"
+	"lovageslip/tlsconf"
+)
+
+// Options configure a Client; NewClient takes them. Log and Metrics are optional.
+type Options struct {
+	// Name is that of this proxy, as the control hosts list it.
+	Name string
+	// Dialer opens connections to the upstreams themselves.
+	Dialer     proxy.Dialer
+	HTTPClient *http.Client
+	Log        *slog.Logger
+	Metrics    tally.Scope
+}
+
+// NewHTTPClient returns an HTTP client for the connections to relays, one for each.
+func NewHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:   tlsconf.Protocols(false, false),
+		HTTP2:       tlsconf.HTTP2(),
+		DialContext: dialer.DialContext,
+	}}
+}
+
+// Client implements proxy.Relays. It is safe for concurrent use.
+type Client struct {
+	options Options
+	log     *slog.Logger
+	metrics tally.Scope
+
+	// mu guards the fields below, and those of the peers.
+	mu sync.Mutex
+	// peers holds the other proxies of the data centre by name.
+	peers map[string]*peer
+	// chosen caches the relay of each upstream: a peer, or nil if this proxy is
+	// the relay. It is cleared when peers change, and at recheckAt, when the
+	// first of the peers and upstreams that are avoided may be used again.
+	chosen    map[string]*peer
+	recheckAt time.Time
+}
+
+// peer is another proxy that may be a relay.
+type peer struct {
+	host    *pb.RelayHost
+	service lovageslipv1connect.RelayServiceClient
+	// leaving is set once the peer has said that it shuts down.
+	leaving bool
+	// failures is how often the peer has failed since its last answer. It is not
+	// used before avoidUntil.
+	failures   int
+	avoidUntil time.Time
+	// avoidUpstreams holds until when the peer is not used for an upstream.
+	avoidUpstreams map[string]time.Time
+}
+
+var _ proxy.Relays = (*Client)(nil)
+
+// NewClient returns a client without peers, so that this proxy is the relay of all
+// upstreams until SetPeers.
+func NewClient(o Options) *Client {
+	return &Client{
+		options: o,
+		log:     logging.For(o.Log, "relay"),
+		metrics: metrics.OrNoop(o.Metrics).SubScope("relay"),
+		peers:   make(map[string]*peer),
+		chosen:  make(map[string]*peer),
+	}
+}
+
+// SetPeers implements proxy.Relays. A peer that was started again is a new one.
+func (c *Client) SetPeers(hosts []*pb.RelayHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peers := make(map[string]*peer)
+	for _, h := range hosts {
+		known, ok := c.peers[h.Name]
+		switch {
+		case h.Name == c.options.Name:
+		case ok && known.host.StartedMs == h.StartedMs && known.host.Address == h.Address:
+			peers[h.Name] = known
+		default:
+			service := lovageslipv1connect.NewRelayServiceClient(c.options.HTTPClient, "http://"+h.Address)
+			peers[h.Name] = &peer{host: h, service: service, avoidUpstreams: make(map[string]time.Time)}
+		}
+	}
+	c.peers = peers
+	clear(c.chosen)
+}
+
+// HasRelay implements proxy.Relays.
+func (c *Client) HasRelay(upstreamID string) bool { return c.relay(upstreamID) != nil }
+
+// relay returns the relay of an upstream, or nil if that is this proxy itself.
+func (c *Client) relay(upstreamID string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayLocked(upstreamID)
+}
+
+func (c *Client) relayLocked(upstreamID string) *peer {
+	now := bootclock.Now()
+	if !c.recheckAt.IsZero() && !now.Before(c.recheckAt) {
+		clear(c.chosen)
+		c.recheckAt = time.Time{}
+	}
+	if cached, ok := c.chosen[upstreamID]; ok {
+		return cached
+	}
+	var best *peer
+	highest := score(c.options.Name, upstreamID)
+	for _, p := range c.peers {
+		if !c.usableLocked(p, upstreamID, now) {
+			continue
+		}
+		if s := score(p.host.Name, upstreamID); s > highest {
+			best, highest = p, s
+		}
+	}
+	c.chosen[upstreamID] = best
+	return best
+}
+
+func (c *Client) usableLocked(p *peer, upstreamID string, now time.Time) bool {
+	until := p.avoidUntil
+	if forUpstream := p.avoidUpstreams[upstreamID]; forUpstream.After(until) {
+		until = forUpstream
+	}
+	if now.Before(until) {
+		if c.recheckAt.IsZero() || until.Before(c.recheckAt) {
+			c.recheckAt = until
+		}
+		return false
+	}
+	return !p.leaving
+}
+
+// score ranks the proxies as relays of an upstream; the highest is chosen.
+func score(name, upstreamID string) uint64 { return xxhash.Sum64String(name + " " + upstreamID) }
+
+// Avoid implements proxy.Relays.
+func (c *Client) Avoid(upstreamID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.relayLocked(upstreamID)
+	if p == nil {
+		return
+	}
+	p.avoidUpstreams[upstreamID] = bootclock.Now().Add(avoidMax)
+	clear(c.chosen)
+	c.metrics.Counter("avoided_for_upstream_total").Inc(1)
+	c.log.Warn("relay does not reach an upstream that this proxy reaches; using another relay", "relay", p.host.Name, "upstream", upstreamID)
+}
+
+// recordFailure makes the proxy use other relays than p for a while.
+func (c *Client) recordFailure(p *peer, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := bootclock.Now()
+	if now.Before(p.avoidUntil) {
+		return
+	}
+	p.avoidUntil = now.Add(min(avoidMin<<min(p.failures, 5), avoidMax))
+	p.failures++
+	clear(c.chosen)
+	c.metrics.Counter("failures_total").Inc(1)
+	c.log.Warn("relay failed; using another one", "relay", p.host.Name, "failures", p.failures, "error", err)
+}
+
+func (c *Client) recordAnswer(p *peer, leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.failures = 0
+	if leaving && !p.leaving {
+		p.leaving = true
+		clear(c.chosen)
+		c.log.Info("relay shuts down; using another one", "relay", p.host.Name)
+	}
+}
+
+// DialDirectly implements proxy.Relays.
+func (c *Client) DialDirectly(ctx context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
+	return c.options.Dialer.Dial(ctx, u)
+}
+
+// Check implements proxy.Relays.
+func (c *Client) Check(ctx context.Context, u *pb.SiteUpstream) (proxy.Reachability, error) {
+	p := c.relay(u.Id)
+	if p == nil {
+		return proxy.ReachabilityUnknown, nil
+	}
+	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
+	if err != nil {
+		c.recordFailure(p, err)
+		return proxy.ReachabilityUnknown, &proxy.RelayLost{Relay: p.host.Name, Err: err}
+	}
+	c.recordAnswer(p, false)
+	switch response.Msg.Reachability {
+	case pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE:
+		return proxy.Reachable, nil
+	case pb.UpstreamReachability_UPSTREAM_REACHABILITY_UNREACHABLE:
+		return proxy.Unreachable, nil
+	default:
+		return proxy.ReachabilityUnknown, nil
+	}
+}
+
+// Dial implements proxy.Relays. It sends nothing yet.
+func (c *Client) Dial(_ context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
+	p := c.relay(u.Id)
+	if p == nil {
+		// This proxy has become the relay since the caller asked.
+		return nil, &proxy.DialRefused{Upstream: u.Id, Code: proxy.CodeNoConnection}
+	}
+	// The stream outlives the call that opens it, so it has a context of its own.
+	ctx, cancel := context.WithCancel(context.Background())
+	return &conn{client: c, peer: p, target: targetToWire(u), stream: p.service.Connect(ctx), cancel: cancel}, nil
+}
+
+// isRelay reports whether p is still the relay of an upstream.
+func (c *Client) isRelay(p *peer, upstreamID string) bool { return c.relay(upstreamID) == p }
--- /dev/null
+++ b/relay/fake_test.go
@@ -0,0 +1,246 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/proxy"
+	"lovageslip/site"
+	"lovageslip/tlsconf"
+	"lovageslip/upstream"
+)
+
+// fakeSite is a group of three upstreams in memory, p1, r1 and r2, which accept few
+// connections, and the proxies of one data centre.
+type fakeSite struct {
+	t       testing.TB
+	parts   site.ViewParts
+	proxies []*fakeProxy
+
+	// mu guards the fields below.
+	mu             sync.Mutex
+	maxConnections int
+	open           map[string]int // connections by upstream
+	dials, refused int
+	offset         upstream.Offset
+	runs           map[string]int // by request, without those rolled back
+	mixed          []string       // statements that ran with another session's state
+	commandDelay   time.Duration
+}
+
+// fakeProxy is one proxy with its relay server, which a test can stop.
+type fakeProxy struct {
+	*proxy.Proxy
+	name   string
+	site   *fakeSite
+	client *Client
+	server *Server
+	http   *httptest.Server
+
+	mu sync.Mutex
+	// unreachable is the id of an upstream that this proxy cannot reach.
+	unreachable string
+	// frozen makes each request to the server wait until it is closed.
+	frozen chan struct{}
+}
+
+func newFakeSite(t testing.TB, proxies, maxConnections int) *fakeSite {
+	s := &fakeSite{t: t, maxConnections: maxConnections, open: map[string]int{}, runs: map[string]int{}, offset: 100}
+	s.parts.Config = &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: uint32(maxConnections)}}}
+	for database, freshness := range map[string]pb.Freshness{"latest": pb.Freshness_FRESHNESS_LATEST, "bounded": pb.Freshness_FRESHNESS_BOUNDED} {
+		s.parts.Config.Routes = append(s.parts.Config.Routes, &pb.SiteRoute{
+			Database: database, Prefix: "/", Group: "g", Freshness: freshness, TimeoutMs: 1000, TargetMs: 1000, AgeMs: 1500,
+		})
+	}
+	for _, id := range []string{"p1", "r1", "r2"} {
+		s.parts.Upstreams = append(s.parts.Upstreams, &pb.SiteUpstream{Id: id, Group: "g", Address: id, DataCentre: "here", Slots: 4})
+	}
+	s.parts.Groups = []*pb.SiteGroupState{{Group: "g", Primary: "p1"}}
+	s.parts.Proxies = proxies
+	for i := range proxies {
+		s.proxies = append(s.proxies, s.newProxy(fmt.Sprintf("proxy-%d", i)))
+	}
+	for _, p := range s.proxies {
+		s.parts.Relays = append(s.parts.Relays, &pb.RelayHost{Name: p.name, Address: p.http.Listener.Addr().String(), StartedMs: 1})
+	}
+	s.applyView()
+	return s
+}
+
+func (s *fakeSite) newProxy(name string) *fakeProxy {
+	p := &fakeProxy{name: name, site: s}
+	p.client = NewClient(Options{Name: name, Dialer: p, HTTPClient: NewHTTPClient()})
+	p.Proxy = proxy.New(proxy.Options{Name: name, DataCentre: "here", Regions: map[string]string{"here": "region"}, Dialer: p, Relays: p.client})
+	p.server = NewServer(p.Proxy, nil, nil)
+	path, handler := p.server.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.waitWhileFrozen()
+		handler.ServeHTTP(w, r)
+	}))
+	p.http = httptest.NewUnstartedServer(mux)
+	p.http.Config.Protocols = tlsconf.Protocols(false, true)
+	p.http.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	s.t.Cleanup(func() { cancel(); <-ended; p.http.CloseClientConnections(); p.http.Close() })
+	return p
+}
+
+func (p *fakeProxy) waitWhileFrozen() {
+	p.mu.Lock()
+	frozen := p.frozen
+	p.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+func (s *fakeSite) applyView() {
+	view := site.NewView(s.parts)
+	for _, p := range s.proxies {
+		p.SetView(view)
+	}
+}
+
+// relayFor returns the proxy that the first proxy which is not itself the relay
+// uses for an upstream.
+func (s *fakeSite) relayFor(id string) *fakeProxy {
+	for _, p := range s.proxies {
+		if chosen := p.client.relay(id); chosen != nil {
+			return s.find(chosen.host.Name)
+		}
+	}
+	s.t.Fatalf("no relay for %s", id)
+	return nil
+}
+
+func (s *fakeSite) find(name string) *fakeProxy {
+	for _, p := range s.proxies {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *fakeSite) totals() (dials, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dials, s.refused
+}
+
+func (s *fakeSite) runsOf(request string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[request]
+}
+
+// fakeConn is a connection to an upstream.
+type fakeConn struct {
+	site     *fakeSite
+	id       string
+	state    proxy.TransactionState
+	values   map[string]string
+	prepared map[string]string
+	inTx     []string // requests that ran in the open transaction
+}
+
+// Dial implements proxy.Dialer.
+func (p *fakeProxy) Dial(_ context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
+	p.mu.Lock()
+	unreachable := p.unreachable == u.Id
+	p.mu.Unlock()
+	if unreachable {
+		return nil, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
+	}
+	s := p.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[u.Id] >= s.maxConnections {
+		s.refused++
+		return nil, &proxy.DialRefused{Upstream: u.Id, Code: proxy.CodeTooManyConnections}
+	}
+	s.open[u.Id]++
+	s.dials++
+	return &fakeConn{site: s, id: u.Id, state: proxy.StateIdle, values: map[string]string{}, prepared: map[string]string{}}, nil
+}
+
+func (c *fakeConn) Alive() bool { return true }
+
+func (c *fakeConn) Close() error {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	c.site.open[c.id]--
+	return nil
+}
+
+func (c *fakeConn) Exchange(_ time.Time, commands ...proxy.Command) ([]proxy.Answer, error) {
+	var answers []proxy.Answer
+	for _, command := range commands {
+		time.Sleep(c.site.commandDelay)
+		answers = append(answers, c.run(command))
+	}
+	return answers, nil
+}
+
+func (c *fakeConn) run(command proxy.Command) proxy.Answer {
+	s := c.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	code := proxy.CodeNone
+	switch command.Kind {
+	case proxy.CommandBegin, proxy.CommandBeginRead:
+		c.state = proxy.StateOpen
+	case proxy.CommandRollback:
+		c.state, c.inTx = proxy.StateIdle, nil
+	case proxy.CommandReset:
+		clear(c.values)
+		clear(c.prepared)
+	case proxy.CommandSet:
+		c.values[command.Name] = command.Value
+	case proxy.CommandPrepare:
+		c.prepared[command.Name] = command.Value
+	default:
+		code = c.forward(command)
+	}
+	return proxy.Answer{
+		Code: code, State: c.state, Body: []byte("COMPLETE " + c.id + " " + command.Name),
+		Position: upstream.Position{Term: 1, Offset: s.offset},
+	}
+}
+
+// forward runs a caller's statement. A statement whose text is "WRITE" followed by
+// a caller's name must find that caller's value set.
+func (c *fakeConn) forward(command proxy.Command) proxy.Code {
+	st, s := command.Statement, c.site
+	var caller string
+	if _, err := fmt.Sscanf(st.Text, "WRITE %s", &caller); err == nil && c.values["caller"] != caller {
+		s.mixed = append(s.mixed, fmt.Sprintf("%s ran with %v", st.ID, maps.Clone(c.values)))
+	}
+	switch {
+	case st.Kind == proxy.KindExecute && c.prepared[command.Name] == "":
+		return proxy.CodeNoStatement
+	case st.Text == "COMMIT":
+		for _, id := range c.inTx {
+			s.runs[id]++
+		}
+		c.state, c.inTx = proxy.StateIdle, nil
+		s.offset++
+	case c.state == proxy.StateOpen:
+		c.inTx = append(c.inTx, st.ID)
+	default:
+		s.runs[st.ID]++
+		s.offset++
+	}
+	return proxy.CodeNone
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,345 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/proxy"
+)
+
+func read(id string) *proxy.Statement {
+	return &proxy.Statement{ID: id, Kind: proxy.KindRead, Text: "READ x"}
+}
+
+func write(id, caller string) *proxy.Statement {
+	return &proxy.Statement{ID: id, Kind: proxy.KindWrite, Text: "WRITE " + caller}
+}
+
+func set(caller string) *proxy.Statement {
+	return &proxy.Statement{ID: "set", Kind: proxy.KindSet, Name: "caller", Value: caller}
+}
+
+func open(t testing.TB, p *fakeProxy, database string) *proxy.Session {
+	t.Helper()
+	s, refusal := p.Open(database)
+	if refusal != nil {
+		t.Fatalf("session on %s refused: %v", database, refusal)
+	}
+	return s
+}
+
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+// callerResult counts the outcomes of the writes of all callers.
+type callerResult struct {
+	served, unknown, refused atomic.Int64
+	wrong                    sync.Map // request -> what was wrong
+}
+
+// runCallers runs one caller on each proxy, which writes single statements and
+// transactions in turn until stop is closed, and checks what it was told against
+// what ran.
+func (s *fakeSite) runCallers(stop <-chan struct{}, result *callerResult) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for _, p := range s.proxies {
+		callers.Go(func() {
+			session := open(s.t, p, "latest")
+			defer session.Close()
+			session.Do(context.Background(), set(p.name))
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%s.%d", p.name, n)
+				result.count(s, id, runWrite(session, id, p.name, n%2 == 1))
+			}
+		})
+	}
+	return &callers
+}
+
+// runWrite writes in a single statement or in a transaction, and returns the last
+// refusal.
+func runWrite(session *proxy.Session, id, caller string, transaction bool) *proxy.Refusal {
+	ctx := context.Background()
+	if !transaction {
+		return session.Do(ctx, write(id, caller)).Refusal
+	}
+	session.Do(ctx, &proxy.Statement{ID: id + "b", Kind: proxy.KindBegin, Text: "BEGIN"})
+	if r := session.Do(ctx, write(id, caller)).Refusal; r != nil {
+		session.Do(ctx, &proxy.Statement{ID: id + "r", Kind: proxy.KindRollback, Text: "ROLLBACK"})
+		return r
+	}
+	return session.Do(ctx, &proxy.Statement{ID: id + "c", Kind: proxy.KindCommit, Text: "COMMIT"}).Refusal
+}
+
+func (r *callerResult) count(s *fakeSite, id string, refusal *proxy.Refusal) {
+	runs := s.runsOf(id)
+	switch {
+	case refusal == nil:
+		r.served.Add(1)
+		if runs != 1 {
+			r.wrong.Store(id, fmt.Sprintf("served, ran %d times", runs))
+		}
+	case refusal.Code == proxy.RefusedUnknown:
+		r.unknown.Add(1)
+		if runs > 1 {
+			r.wrong.Store(id, fmt.Sprintf("unknown, ran %d times", runs))
+		}
+	default:
+		r.refused.Add(1)
+		if runs != 0 {
+			r.wrong.Store(id, fmt.Sprintf("refused as %v, ran %d times", refusal, runs))
+		}
+	}
+}
+
+func (r *callerResult) check(t testing.TB, s *fakeSite) {
+	t.Helper()
+	r.wrong.Range(func(id, what any) bool {
+		t.Errorf("write %v: %v", id, what)
+		return true
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
+}
+
+// Guards against a new connection for nearly every statement, and against more
+// connections than an upstream accepts, where there are more proxies than
+// connections.
+func TestFewConnectionsForManyProxies(t *testing.T) {
+	s := newFakeSite(t, 40, 30)
+	s.commandDelay = time.Millisecond
+	var callers sync.WaitGroup
+	const each = 60
+	for _, p := range s.proxies {
+		callers.Go(func() {
+			session := open(t, p, "bounded")
+			for n := range each {
+				reply := session.Do(context.Background(), read(fmt.Sprintf("%s.%d", p.name, n)))
+				assert.Check(t, reply.Refusal == nil, "%v", reply.Refusal)
+			}
+		})
+	}
+	callers.Wait()
+	dials, refused := s.totals()
+	statements := each * len(s.proxies)
+	assert.Check(t, dials*1000/statements < 50, "%d connections for %d statements", dials, statements)
+	assert.Equal(t, refused, 0)
+}
+
+// Guards against session values, prepared statements or transactions of one caller
+// that reach another one over the connections that they share at a relay.
+func TestCallersDoNotMixAtARelay(t *testing.T) {
+	s := newFakeSite(t, 12, 6)
+	s.commandDelay = time.Millisecond
+	stop, result := make(chan struct{}), &callerResult{}
+	callers := s.runCallers(stop, result)
+	waitFor(t, "writes", func() bool { return result.served.Load() > 1000 })
+	close(stop)
+	callers.Wait()
+	result.check(t, s)
+	assert.Equal(t, result.unknown.Load(), int64(0))
+
+	session := open(t, s.proxies[0], "latest")
+	session.Do(context.Background(), &proxy.Statement{ID: "p", Kind: proxy.KindPrepare, Name: "s1", Value: "shape"})
+	reply := session.Do(context.Background(), &proxy.Statement{ID: "e", Kind: proxy.KindExecute, Name: "s1", Value: "1", Text: "EXECUTE s1 1"})
+	assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
+	assert.Equal(t, s.runsOf("e"), 1)
+}
+
+// Guards against writes with an unknown or a wrong outcome, and against aborted
+// transactions, when a relay is stopped as planned while others use it.
+func TestRelayStopsAsPlannedUnderLoad(t *testing.T) {
+	s := newFakeSite(t, 12, 6)
+	s.commandDelay = time.Millisecond
+	relay := s.relayFor("p1")
+	stop, result := make(chan struct{}), &callerResult{}
+	callers := s.runCallers(stop, result)
+	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	relay.server.Leave()
+	before := result.served.Load()
+	waitFor(t, "more writes", func() bool { return result.served.Load() > before+200 })
+	relay.server.Close()
+	waitFor(t, "the streams of the relay to end", func() bool { return relay.server.OpenStreams() == 0 })
+	relay.server.CloseTransactions()
+	relay.http.CloseClientConnections()
+	before = result.served.Load()
+	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+200 })
+	close(stop)
+	callers.Wait()
+	result.check(t, s)
+	assert.Equal(t, result.unknown.Load(), int64(0))
+	assert.Equal(t, result.refused.Load(), int64(0))
+}
+
+// Guards against requests that a relay has received but not begun when it closes its
+// streams at once, without notice: they must be told apart from those that ran.
+func TestRelayClosesStreamsWithoutNotice(t *testing.T) {
+	s := newFakeSite(t, 12, 6)
+	s.commandDelay = time.Millisecond
+	relay := s.relayFor("p1")
+	stop, result := make(chan struct{}), &callerResult{}
+	callers := s.runCallers(stop, result)
+	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	relay.server.Leave()
+	relay.server.Close()
+	before := result.served.Load()
+	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+200 })
+	close(stop)
+	callers.Wait()
+	result.check(t, s)
+	assert.Equal(t, result.unknown.Load(), int64(0))
+}
+
+// Guards against writes that run twice, or that are reported as not run although
+// they ran, when a relay is lost in the middle of them, and against a data centre
+// that goes without service for longer than it takes to choose another relay.
+func TestRelayIsLostUnderLoad(t *testing.T) {
+	s := newFakeSite(t, 12, 6)
+	s.commandDelay = time.Millisecond
+	relay := s.relayFor("p1")
+	stop, result := make(chan struct{}), &callerResult{}
+	callers := s.runCallers(stop, result)
+	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	relay.http.Listener.Close()
+	relay.http.CloseClientConnections()
+	lostAt, before := time.Now(), result.served.Load()
+	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+100 })
+	assert.Check(t, time.Since(lostAt) < time.Second, "no service for %v", time.Since(lostAt))
+	close(stop)
+	callers.Wait()
+	result.check(t, s)
+}
+
+// Guards against a relay that stops answering, with its connections still open, and
+// keeps the statements of its data centre waiting.
+func TestFrozenRelayIsAvoided(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	relay := s.relayFor("p1")
+	relay.mu.Lock()
+	relay.frozen = make(chan struct{})
+	relay.mu.Unlock()
+	defer close(relay.frozen)
+	var other *fakeProxy
+	for _, p := range s.proxies {
+		if p != relay {
+			other = p
+			break
+		}
+	}
+	stuck := open(t, other, "latest")
+	go stuck.Do(context.Background(), write("stuck", "x"))
+	waitFor(t, "another relay to be chosen", func() bool {
+		chosen := other.client.relay("p1")
+		return chosen == nil || chosen.host.Name != relay.name
+	})
+	session := open(t, other, "latest")
+	begun := time.Now()
+	reply := session.Do(context.Background(), read("next"))
+	assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
+	assert.Check(t, time.Since(begun) < time.Second)
+}
+
+// Guards against a primary that is reported as unreachable, and against a data
+// centre without service, because only the relay is cut off from the primary.
+func TestRelayThatCannotReachThePrimaryIsAvoided(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	relay := s.relayFor("p1")
+	relay.mu.Lock()
+	relay.unreachable = "p1"
+	relay.mu.Unlock()
+	for _, p := range s.proxies {
+		if p == relay {
+			continue
+		}
+		session := open(t, p, "latest")
+		reply := session.Do(context.Background(), write("w-"+p.name, "x"))
+		assert.Check(t, reply.Refusal == nil, "%s: %v", p.name, reply.Refusal)
+		waitFor(t, "the primary to count as reachable", func() bool {
+			unreachable, _ := p.PrimaryReachability()
+			return len(unreachable) == 0
+		})
+	}
+}
+
+// Guards against proxies that choose different relays for an upstream although they
+// know the same peers, and against a lost proxy that moves the upstreams of others.
+func TestProxiesChooseTheSameRelay(t *testing.T) {
+	var hosts []*pb.RelayHost
+	for i := range 50 {
+		hosts = append(hosts, &pb.RelayHost{Name: fmt.Sprintf("proxy-%d", i), Address: "127.0.0.1:1", StartedMs: 1})
+	}
+	chosen := func(name string, hosts []*pb.RelayHost, id string) string {
+		c := NewClient(Options{Name: name, HTTPClient: NewHTTPClient()})
+		c.SetPeers(hosts)
+		if p := c.relay(id); p != nil {
+			return p.host.Name
+		}
+		return name
+	}
+	load := map[string]int{}
+	for u := range 60 {
+		id := fmt.Sprintf("upstream-%d", u)
+		relay := chosen("proxy-0", hosts, id)
+		assert.Equal(t, chosen("proxy-1", hosts, id), relay)
+		load[relay]++
+		if relay != "proxy-49" {
+			assert.Equal(t, chosen("proxy-0", hosts[:49], id), relay)
+		}
+	}
+	for name, upstreams := range load {
+		assert.Check(t, upstreams <= 6, "%s relays for %d of 60 upstreams", name, upstreams)
+	}
+}
+
+// Guards against a malformed message that ends the relay's process or the streams of
+// others.
+func TestMalformedRequestEndsOnlyItsStream(t *testing.T) {
+	s := newFakeSite(t, 4, 4)
+	relay := s.relayFor("p1")
+	user := s.proxies[0]
+	if user == relay {
+		user = s.proxies[1]
+	}
+	session := open(t, user, "latest")
+	assert.Assert(t, session.Do(context.Background(), write("before", "x")).Refusal == nil)
+	target := &pb.RelayTarget{Upstream: "p1", Address: "p1"}
+	for _, request := range []*pb.RelayRequest{
+		{},
+		{Target: target},
+		{Commands: []*pb.RelayCommand{{Kind: 0, Request: "x", Text: "WRITE x"}}},
+		{Target: target, Commands: []*pb.RelayCommand{{Kind: 99}}},
+		{Target: target, Commands: []*pb.RelayCommand{{Kind: 0}}},
+		{Target: &pb.RelayTarget{}, Commands: []*pb.RelayCommand{{Kind: 1}}},
+	} {
+		stream := user.client.peers[relay.name].service.Connect(context.Background())
+		// Send may fail already because the relay has ended the stream.
+		_ = stream.Send(request)
+		response, err := stream.Receive()
+		refused := err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument
+		unreachable := err == nil && proxy.Code(response.Answers[0].Code) == proxy.CodeUnreachable
+		assert.Check(t, refused || unreachable, "%v: %v %v", request, response, err)
+		assert.Check(t, stream.CloseRequest())
+	}
+	assert.Assert(t, session.Do(context.Background(), write("after", "x")).Refusal == nil)
+	assert.Equal(t, s.runsOf("x"), 0)
+}
--- a/site/view.go
+++ b/site/view.go
@@ -22,6 +22,10 @@
 	Proxies int
 	// ControlHosts are the internal addresses of the control hosts.
 	ControlHosts []string
+	// Relays are the proxies of the proxy's own data centre, which relay
+	// commands to upstreams for each other. It is empty while they are not
+	// known.
+	Relays []*pb.RelayHost
 
 	routes map[string]*pb.SiteRoute
 	groups map[string]*GroupView
@@ -67,6 +71,7 @@
 	Groups       []*pb.SiteGroupState
 	ControlHosts []string
 	Proxies      int
+	Relays       []*pb.RelayHost
 }
 
 // NewView builds a view. The parts must not be modified afterwards.
@@ -77,6 +82,7 @@
 		TransactionIdle: time.Duration(p.Config.GetTransactionIdleMs()) * time.Millisecond,
 		Proxies:         max(p.Proxies, 1),
 		ControlHosts:    p.ControlHosts,
+		Relays:          p.Relays,
 		routes:          make(map[string]*pb.SiteRoute),
 		groups:          make(map[string]*GroupView),
 	}
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -36,10 +36,36 @@
 func (s *Server) Report(_ context.Context, r *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setRelayLocked(r.Msg.Reporter, s.reports[r.Msg.Reporter].message, r.Msg)
 	s.reports[r.Msg.Reporter] = report{message: r.Msg, receivedAt: now()}
 	return connect.NewResponse(&pb.ReportResponse{}), nil
 }
 
+// setRelayLocked updates the relays of a data centre when the report of a proxy is
+// replaced by another one, or by nil when it expires.
+func (s *Server) setRelayLocked(reporter string, previous, next *pb.ReportRequest) {
+	if previous.GetDataCentre() == next.GetDataCentre() && proto.Equal(previous.GetRelay(), next.GetRelay()) {
+		return
+	}
+	if previous.GetRelay() != nil {
+		without := slices.Clone(s.relays[previous.DataCentre])
+		s.relays[previous.DataCentre] = slices.DeleteFunc(without, func(h *pb.RelayHost) bool { return h.Name == reporter })
+	}
+	if relay := next.GetRelay(); relay != nil {
+		with := append(slices.Clone(s.relays[next.DataCentre]), relay)
+		slices.SortFunc(with, func(a, b *pb.RelayHost) int { return cmp.Compare(a.Name, b.Name) })
+		s.relays[next.DataCentre] = with
+	}
+}
+
+// relaysOf returns the relays of a data centre, sorted by name. The caller must not
+// modify the slice.
+func (s *Server) relaysOf(dataCentre string) []*pb.RelayHost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relays[dataCentre]
+}
+
 // gatherReports adds up the reports that have not expired: those of proxies and,
 // if relayed is set, the sums that other control hosts have relayed to a leader.
 func (s *Server) gatherReports(relayed bool) *pb.ReportRequest {
@@ -50,6 +76,7 @@
 	for name, r := range s.reports {
 		age := now().Sub(r.receivedAt)
 		if age > reportLifetime {
+			s.setRelayLocked(name, r.message, nil)
 			delete(s.reports, name)
 			continue
 		}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -112,6 +112,9 @@
 	mu sync.Mutex
 	// reports holds the newest report of each reporter.
 	reports map[string]report
+	// relays holds, by data centre, the proxies that report to this host and
+	// relay commands for others, sorted by name. A change replaces the slice.
+	relays map[string][]*pb.RelayHost
 	// announcements holds, by upstream id, the last announcement that this host
 	// received as the leader, and when. The start of a term resets the times.
 	announcements map[string]announcement
@@ -147,6 +150,7 @@
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
 		reports:       make(map[string]report),
+		relays:        make(map[string][]*pb.RelayHost),
 		announcements: make(map[string]announcement),
 		samples:       make(map[string]*positionSample),
 		lastLeaderAt:  now(),
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -34,13 +34,18 @@
 	config  *pb.SiteConfig
 	state   *pb.SiteState
 	members []string
+	// dataCentre is that of the proxy. relays is what was last sent of its
+	// relays, at relaysSentAt.
+	dataCentre   string
+	relays       []*pb.RelayHost
+	relaysSentAt time.Time
 }
 
 // Watch implements SiteService. It streams the state of the site to a proxy. The
 // stream ends when this host knows no leader, so that the proxy turns to another
 // control host. A host that stands by sends only the addresses of the members.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchSiteRequest], stream *connect.ServerStream[pb.SiteUpdate]) error {
-	w := &watcher{}
+	w := &watcher{dataCentre: r.Msg.DataCentre}
 	if members := s.standbyMembers(); members != nil {
 		if err := stream.Send(&pb.SiteUpdate{ControlHosts: members}); err != nil {
 			return err
@@ -53,10 +58,12 @@
 	}
 	for {
 		state, index, changed := s.options.State.Current()
-		if err := stream.Send(w.update(state, index, s.memberAddresses())); err != nil {
+		update := w.update(state, index, s.memberAddresses())
+		w.addRelays(update, s.relaysOf(w.dataCentre))
+		if err := stream.Send(update); err != nil {
 			return err
 		}
-		if err := s.waitForChange(ctx, changed); err != nil {
+		if err := s.waitForChange(ctx, w, changed); err != nil {
 			return unavailable(err)
 		}
 	}
@@ -78,7 +85,7 @@
 
 // waitForChange returns nil when the next update is due, and an error as soon as
 // this host knows no leader or ctx ends.
-func (s *Server) waitForChange(ctx context.Context, changed <-chan struct{}) error {
+func (s *Server) waitForChange(ctx context.Context, w *watcher, changed <-chan struct{}) error {
 	for waited := time.Duration(0); waited < KeepAliveInterval; waited += watchInterval {
 		if !pause.For(ctx, watchInterval) {
 			return ctx.Err()
@@ -91,10 +98,30 @@
 			return nil
 		default:
 		}
+		if w.relaysDue(s.relaysOf(w.dataCentre)) {
+			return nil
+		}
 	}
 	return nil
 }
 
+// relaysInterval is the shortest time between two lists of relays to one proxy.
+// After a restart of all proxies, the list changes with each report.
+const relaysInterval = 400 * time.Millisecond
+
+// relaysDue reports whether the list of relays has changed and may be sent.
+func (w *watcher) relaysDue(relays []*pb.RelayHost) bool {
+	return !slices.Equal(w.relays, relays) && now().Sub(w.relaysSentAt) >= relaysInterval
+}
+
+// addRelays adds the list of relays to an update if it is due.
+func (w *watcher) addRelays(u *pb.SiteUpdate, relays []*pb.RelayHost) {
+	if w.relaysDue(relays) {
+		u.RelaysChanged, u.Relays = true, relays
+		w.relays, w.relaysSentAt = relays, now()
+	}
+}
+
 // update returns the parts of the state that have changed since the previous
 // update to this proxy.
 func (w *watcher) update(state *pb.SiteState, index uint64, members []string) *pb.SiteUpdate {
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -49,6 +49,9 @@
 	// Name is the proxy's name in reports and logs.
 	Name       string
 	DataCentre string
+	// Relay is this proxy as others of its data centre reach it, or nil if it
+	// relays nothing. It is reported until Leave.
+	Relay *pb.RelayHost
 	// Seeds returns internal addresses of control hosts that may be running.
 	Seeds      func() []string
 	HTTPClient *http.Client
@@ -79,6 +82,8 @@
 	parts          site.ViewParts
 	watchedAddress string // address of the last control host that sent an update
 	lastUpdateAt   time.Time
+	// leaving is set once the proxy shuts down and relays nothing new.
+	leaving bool
 	// discoveredHosts are the members that a control host which stands by has
 	// named.
 	discoveredHosts []string
@@ -267,7 +272,7 @@
 		w.mu.Unlock()
 		return false
 	}
-	changed := u.Config != nil || u.Topology
+	changed := u.Config != nil || u.Topology || u.RelaysChanged
 	w.parts.Index = u.Index
 	if u.Config != nil {
 		w.parts.Config = u.Config
@@ -276,13 +281,16 @@
 		w.parts.Upstreams, w.parts.Groups = u.Upstreams, u.Groups
 		w.parts.ControlHosts, w.parts.Proxies = u.ControlHosts, int(u.Proxies)
 	}
+	if u.RelaysChanged {
+		w.parts.Relays = u.Relays
+	}
 	parts := w.parts
 	w.mu.Unlock()
 	if !changed {
 		return true
 	}
 	w.log.Info("view of the site updated", "index", parts.Index, "config", parts.Config.GetVersion(),
-		"upstreams", len(parts.Upstreams), "proxies", parts.Proxies, "from", address)
+		"upstreams", len(parts.Upstreams), "proxies", parts.Proxies, "relays", len(parts.Relays), "from", address)
 	p.SetView(site.NewView(parts))
 	return true
 }
@@ -292,32 +300,50 @@
 func (w *Watch) runReports(ctx context.Context, p Proxy) {
 	var last []string
 	var sentAt time.Time
+	var sentTo string
 	for pause.For(ctx, reportCheckInterval) {
 		unreachable, untried := p.PrimaryReachability()
 		interval := sitecontrol.ReportInterval
 		if len(unreachable) > 0 {
 			interval = sitecontrol.UnreachableReportInterval
 		}
-		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < interval {
+		address, leaving := w.reportTarget()
+		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < interval && address == sentTo {
 			continue
 		}
 		if !slices.Equal(unreachable, last) {
 			w.log.Info("list of primaries that the proxy cannot reach changed", "upstreams", unreachable)
 		}
-		if w.report(ctx, unreachable, untried) {
-			last, sentAt = unreachable, bootclock.Now()
+		if w.report(ctx, address, leaving, unreachable, untried) {
+			last, sentAt, sentTo = unreachable, bootclock.Now(), address
 		}
 	}
 }
 
-func (w *Watch) report(ctx context.Context, unreachable, untried []string) bool {
+// Leave makes the control host take this proxy off the list of relays with the
+// next report.
+func (w *Watch) Leave() {
 	w.mu.Lock()
-	address := w.watchedAddress
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// reportTarget returns the address of the watched control host, or an empty string,
+// and whether the proxy is leaving.
+func (w *Watch) reportTarget() (address string, leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.watchedAddress, w.leaving
+}
+
+func (w *Watch) report(ctx context.Context, address string, leaving bool, unreachable, untried []string) bool {
 	if address == "" {
 		return false
 	}
-	request := &pb.ReportRequest{Reporter: w.options.Name, Proxies: 1}
+	request := &pb.ReportRequest{Reporter: w.options.Name, Proxies: 1, DataCentre: w.options.DataCentre}
+	if !leaving {
+		request.Relay = w.options.Relay
+	}
 	request.Complaints = newComplaints(unreachable)
 	request.Untried = newComplaints(untried)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
