Elect a leader at once after a restart of all control hosts

Change: a restarted host asks all that could hold a lease whether their processes were restarted too. If all of them were, a lease cannot exist any more, and the host with the most up to date log campaigns at once; the voters grant that vote only while they have not heard from a leader since their own start. Proxies try control hosts again after 300 ms. A Watch request names the proxy as a relay, so that the first update lists all relays; before, each proxy dialed for itself in the first 100 ms and kept the connections that the relays needed. Relays are used below four connections for each proxy. Ruled out: serving views that a single restarted control host remembers, because an upstream that has left since would be used again.

--- a/consensus/append.go
+++ b/consensus/append.go
@@ -62,6 +62,7 @@
 	if term > n.term || n.role != roleFollower || n.leader != leader {
 		n.adoptTermLocked(term, leader)
 	}
+	n.restarted = false
 	n.leaderContactAt = bootclock.Now()
 	n.resetElectionTimeoutLocked()
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -167,14 +167,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	stale := n.term+1 != preVote.request.Term || n.role == roleLeader
-	if stale || n.leaderMayHoldLeaseLocked() || !n.mayCampaignLocked() {
+	leased := n.leaderMayHoldLeaseLocked() && !(preVote.request.AllRestarted && n.restarted)
+	if stale || leased || !n.mayCampaignLocked() {
 		return nil, nil
 	}
 	n.role = roleCandidate
 	n.leader = ""
 	n.setHardStateLocked(n.term+1, n.options.Name)
 	n.resetElectionTimeoutLocked()
-	return n.voteRoundLocked(n.term, false), n.hardStateOp
+	election := n.voteRoundLocked(n.term, false)
+	election.request.AllRestarted = preVote.request.AllRestarted
+	return election, n.hardStateOp
 }
 
 // collectVotes asks all other voters concurrently and reports whether enough
@@ -187,7 +190,10 @@
 	others := otherVoters(round.members, n.options.Name)
 	answers := make(chan bool, len(others))
 	for _, m := range others {
-		group.Go(func() { answers <- n.requestVote(ctx, m, round.request) })
+		group.Go(func() {
+			response := n.requestVote(ctx, m, round.request)
+			answers <- response.GetGranted()
+		})
 	}
 	granted := 1
 	for range others {
@@ -203,16 +209,17 @@
 	return granted >= round.needed
 }
 
-func (n *Node) requestVote(ctx context.Context, m *pb.Member, request *pb.RequestVoteRequest) bool {
+// requestVote returns a host's answer, or nil if there is none.
+func (n *Node) requestVote(ctx context.Context, m *pb.Member, request *pb.RequestVoteRequest) *pb.RequestVoteResponse {
 	n.mu.Lock()
 	client := n.clientLocked(m.Address)
 	n.mu.Unlock()
 	response, err := client.RequestVote(ctx, connect.NewRequest(request))
 	if err != nil {
-		return false
+		return nil
 	}
 	n.observeTerm(response.Msg.Term)
-	return response.Msg.Granted
+	return response.Msg
 }
 
 // observeTerm adopts a term that is higher than this host's and makes it a
@@ -253,19 +260,27 @@
 	n := s.n
 	n.mu.Lock()
 	granted := n.decideVoteLocked(request.Msg)
-	term, op := n.term, n.hardStateOp
+	response := &pb.RequestVoteResponse{
+		Term:      n.term,
+		Granted:   granted,
+		Restarted: n.restarted,
+		LastIndex: n.log.lastIndex(),
+		LastTerm:  n.log.lastTerm(),
+	}
+	op := n.hardStateOp
 	n.mu.Unlock()
 	if err := n.awaitDisk(ctx, op); err != nil {
 		return nil, toWire(err)
 	}
-	return connect.NewResponse(&pb.RequestVoteResponse{Term: term, Granted: granted}), nil
+	return connect.NewResponse(response), nil
 }
 
 // decideVoteLocked reports whether this host grants a vote or pre-vote. For a
 // vote it adopts a higher term and records the vote that it grants; the caller
 // waits for n.hardStateOp before it answers. A pre-vote changes nothing.
 func (n *Node) decideVoteLocked(r *pb.RequestVoteRequest) bool {
-	if !n.canVoteLocked() || n.leaderMayHoldLeaseLocked() || r.Term < n.term {
+	leased := n.leaderMayHoldLeaseLocked() && !(r.AllRestarted && n.restarted)
+	if !n.canVoteLocked() || leased || r.Term < n.term {
 		return false
 	}
 	if r.PreVote {
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -67,6 +67,7 @@
 		return
 	}
 	n.role = roleLeader
+	n.restarted = false
 	n.leader = n.options.Name
 	n.leadership = &leadership{
 		startedAt: bootclock.Now(),
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -86,11 +86,14 @@
 	snapshotFileMu    sync.Mutex // held while a snapshot file is read or written
 
 	// mu guards all fields below.
-	mu       sync.Mutex
-	role     role
-	term     uint64
-	votedFor string
-	leader   string
+	mu   sync.Mutex
+	role role
+	// restarted is set until this host leads or a leader contacts it for the
+	// first time since its start.
+	restarted bool
+	term      uint64
+	votedFor  string
+	leader    string
 	// leaderContactAt is when the last request of a leader arrived, or when
 	// this host started.
 	leaderContactAt time.Time
@@ -180,6 +183,7 @@
 	n.group.Go(func() { n.runDisk(n.ctx) })
 	n.group.Go(func() { n.runApply(n.ctx) })
 	n.group.Go(func() { n.runElections(n.ctx) })
+	n.group.Go(func() { n.electAfterRestart(n.ctx) })
 	n.group.Go(func() { n.runGauges(n.ctx) })
 	return n, nil
 }
@@ -235,6 +239,7 @@
 	n.snapshotIndex = state.snapshotMeta.Index
 	n.commitIndex, n.lastApplied = state.snapshotMeta.Index, state.snapshotMeta.Index
 	n.durableIndex = n.log.lastIndex()
+	n.restarted = true
 	n.reloadMembersLocked()
 	n.startElectionTimeoutLocked()
 	return nil
--- a/consensus/timing.go
+++ b/consensus/timing.go
@@ -6,6 +6,15 @@
 	heartbeatInterval  = 100 * time.Millisecond
 	electionTimeoutMin = 400 * time.Millisecond
 	electionTimeoutMax = 800 * time.Millisecond
+	// restartProbeInterval is how often a restarted host asks whether all others
+	// have been restarted as well.
+	restartProbeInterval = 40 * time.Millisecond
+	// restartProbeTimeout bounds one such question. It covers two round trips
+	// between regions; a host that starts meanwhile answers the next one.
+	restartProbeTimeout = 100 * time.Millisecond
+	// restartProbeLimit is how long it asks. Hosts that lose power together
+	// start within about a second.
+	restartProbeLimit = 3 * time.Second
 	// leaseDuration is shorter than electionTimeoutMin by more than the assumed
 	// clock drift of 10 %, so that a lease ends before the hosts that renewed
 	// it may vote again.
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -34,6 +34,8 @@
 	ran      []string              // ids of statements that ran
 	open     int                   // connections
 	dials    int                   // connections ever opened
+	full     bool                  // refuses new connections
+	refused  int                   // connections refused while full
 	values   []map[string]string   // session values of each read and write
 	onBegin  func(u *fakeUpstream) // called after each BEGIN
 }
@@ -54,6 +56,10 @@
 	if u == nil || u.dead {
 		return nil, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
 	}
+	if u.full {
+		u.refused++
+		return nil, &DialRefused{Upstream: u.id, Code: CodeTooManyConnections}
+	}
 	u.open++
 	u.dials++
 	return &fakeConn{u: u, state: StateIdle, values: map[string]string{}, prepared: map[string]string{}}, nil
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -36,9 +36,14 @@
 	// sent to it.
 	inFlight int
 	// dialing is the part of open that is still being dialed.
-	dialing     int
-	concurrency concurrencyLimit
-	waiters     []*waiter
+	dialing int
+	// refusedDials counts the dials that the upstream has refused for lack of
+	// room since the last one that succeeded. No other is begun before
+	// nextDialAt, because each takes time of the upstream as well.
+	refusedDials int
+	nextDialAt   time.Time
+	concurrency  concurrencyLimit
+	waiters      []*waiter
 	// grantTimerSet is set while a timer is pending that calls grantLocked.
 	grantTimerSet bool
 
@@ -113,6 +118,23 @@
 	p.grantLocked()
 }
 
+// setQuota changes the quota if it differs.
+func (p *pool) setQuota(quota connectionQuota) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if quota != p.quota {
+		p.quota = quota
+		p.grantLocked()
+	}
+}
+
+// group returns the name of the upstream's group.
+func (p *pool) group() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.siteUpstream.Group
+}
+
 func (p *pool) id() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,6 +172,9 @@
 		p.popWaiterLocked(at).granted <- grant{conn: c}
 	}
 	room := max(int(p.concurrency.limit), 1) - p.inFlight
+	if at.Before(p.nextDialAt) {
+		return
+	}
 	for p.dialing < min(len(p.waiters), room) && p.open < p.quota.limit && !p.closed {
 		p.open++
 		p.dialing++
@@ -157,15 +182,22 @@
 	}
 }
 
-// scheduleGrantLocked calls grantLocked again when the pause after a decrease
-// of the concurrency limit has passed. It need not if statements are in flight,
-// because grantLocked is called after each answer.
+// scheduleGrantLocked calls grantLocked again when the pauses after a decrease of
+// the concurrency limit and after a refused dial have passed. It need not if
+// statements are in flight, because grantLocked is called after each answer.
 func (p *pool) scheduleGrantLocked(at time.Time) {
-	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantTimerSet || p.concurrency.allows(0, at) {
+	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantTimerSet {
+		return
+	}
+	wait := p.nextDialAt.Sub(at)
+	if !p.concurrency.allows(0, at) {
+		wait = max(wait, p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt))
+	}
+	if wait <= 0 {
 		return
 	}
 	p.grantTimerSet = true
-	time.AfterFunc(p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt), func() {
+	time.AfterFunc(wait, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.grantTimerSet = false
@@ -312,6 +344,7 @@
 		p.failWaitersLocked(err)
 		return
 	}
+	p.refusedDials, p.nextDialAt = 0, time.Time{}
 	c := p.newConn(dialed)
 	if p.closed {
 		p.closeLocked(c)
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,6 +85,31 @@
 	assert.Equal(t, pl.open, 0)
 }
 
+// Guards against an upstream with too many connections that has no time left for its
+// statements, because each statement that waits dials again and again.
+func TestRefusedDialsArePaced(t *testing.T) {
+	f := newFixture(t)
+	f.group.update("p1", func(u *fakeUpstream) { u.full = true })
+	pl, _ := f.proxy.pool(f.parts.Upstreams[0])
+	var waiting sync.WaitGroup
+	for range 20 {
+		waiting.Go(func() {
+			for end := time.Now().Add(time.Second); time.Now().Before(end); {
+				_, err := pl.acquire(context.Background(), highestUrgency(), 100*time.Millisecond)
+				assert.Check(t, err != nil)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	waiting.Wait()
+	refused := 0
+	f.group.update("p1", func(u *fakeUpstream) { refused, u.full = u.refused, false })
+	assert.Check(t, refused < 20, "%d dials in a second", refused)
+	c, err := pl.acquire(context.Background(), highestUrgency(), 2*time.Second)
+	assert.NilError(t, err, "the pool did not dial again")
+	pl.release(c)
+}
+
 // Guards against noticing the loss of a primary only when the first statement
 // at it times out, which took half of the time without a primary.
 func TestUnreachableUpstreamIsNoticedBeforeItsStatementsTimeOut(t *testing.T) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -126,12 +126,12 @@
 	defer p.mu.Unlock()
 	inView, relayed := make(map[poolKey]bool), make(map[poolKey]bool)
 	for _, g := range v.Groups() {
-		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && equalQuota(g.MaxConnections, v.Proxies).scarce
+		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && needRelays(g.MaxConnections, v.Proxies)
 		homeID := p.homeReplica(g)
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
 			inView[key], relayed[key] = true, useRelays
-			p.updatePool(key, u, p.directQuota(g, u.Id == homeID, useRelays, v.Proxies))
+			p.updatePool(key, u, p.directQuota(g, u.Id, homeID, useRelays, v.Proxies))
 			if useRelays {
 				p.updateRelayedPool(key, u)
 			}
@@ -143,11 +143,13 @@
 }
 
 // directQuota returns the quota of the connections that this proxy dials itself.
-func (p *Proxy) directQuota(g *site.GroupView, home, useRelays bool, proxies int) connectionQuota {
+func (p *Proxy) directQuota(g *site.GroupView, id, homeID string, useRelays bool, proxies int) connectionQuota {
 	switch {
+	case useRelays && p.options.Relays.HasRelay(id):
+		return fallbackQuota
 	case useRelays:
 		return relayQuota(g.MaxConnections, len(p.options.Regions))
-	case home:
+	case id == homeID:
 		return homeQuota(g, proxies)
 	default:
 		return equalQuota(g.MaxConnections, proxies)
@@ -240,10 +242,28 @@
 		if due := p.samplesDue(); len(due) > 0 {
 			tasks.Go(func() { p.refreshSamples(ctx, due) })
 		}
+		p.refreshRelayQuotas()
 		p.closeIdle()
 	}
 }
 
+// refreshRelayQuotas adapts the quotas of this proxy's own connections after the
+// relay of an upstream has changed without a change of the view.
+func (p *Proxy) refreshRelayQuotas() {
+	v := p.View()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.relayedPools {
+		direct, ok := p.pools[key]
+		if !ok {
+			continue
+		}
+		if g, ok := v.Group(direct.group()); ok {
+			direct.setQuota(p.directQuota(g, key.id, "", true, v.Proxies))
+		}
+	}
+}
+
 // claimChecks returns the pools whose upstreams should be checked now. The
 // caller must call check on each.
 func (p *Proxy) claimChecks() []*pool {
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -37,6 +37,11 @@
 	// idleTimeout is below the time after which servers close idle
 	// connections.
 	idleTimeout = 45 * time.Second
+	// relayThreshold is the number of connections for each proxy below which the
+	// proxies of a data centre relay for each other. With fewer, reads,
+	// transactions and the connections that an upstream still counts after a
+	// loss of power don't have room side by side.
+	relayThreshold = 4
 	// scarceConnections and scarceIdleTimeout apply where there are too few
 	// connections for each proxy to keep its own. A proxy opens one when it
 	// needs it and closes it soon after. Two connections let a read and a
@@ -49,6 +54,16 @@
 	homeFraction = 0.8
 )
 
+// fallbackQuota is for a proxy's own connections to an upstream that it reaches
+// through a relay. It uses them only until it knows the relays.
+var fallbackQuota = connectionQuota{limit: scarceConnections, idleTimeout: 100 * time.Millisecond, scarce: true}
+
+// needRelays reports whether there are too few connections for each proxy to keep
+// its own.
+func needRelays(connections, proxies int) bool {
+	return (connections-reservedConnections)/max(proxies, 1) < relayThreshold
+}
+
 // equalQuota divides the connections of an upstream equally among the proxies.
 func equalQuota(connections, proxies int) connectionQuota {
 	each := (connections - reservedConnections) / max(proxies, 1)
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -41,6 +41,20 @@
 	return connect.NewResponse(&pb.ReportResponse{}), nil
 }
 
+// recordWatcher records a proxy that begins to watch this host, as its first report
+// would, unless it has reported already.
+func (s *Server) recordWatcher(r *pb.WatchSiteRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous := s.reports[r.Proxy].message
+	if previous != nil && proto.Equal(previous.Relay, r.Relay) {
+		return
+	}
+	first := &pb.ReportRequest{Reporter: r.Proxy, Proxies: 1, Relay: r.Relay, DataCentre: r.DataCentre}
+	s.setRelayLocked(r.Proxy, previous, first)
+	s.reports[r.Proxy] = report{message: first, receivedAt: now()}
+}
+
 // setRelayLocked updates the relays of a data centre when the report of a proxy is
 // replaced by another one, or by nil when it expires.
 func (s *Server) setRelayLocked(reporter string, previous, next *pb.ReportRequest) {
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -53,6 +53,7 @@
 		return unavailable(noLeader())
 	}
 	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
+	s.recordWatcher(r.Msg)
 	if err := s.readCommitted(ctx); err != nil {
 		return unavailable(err)
 	}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -37,9 +37,10 @@
 	// watch turns to another one: two intervals of keep-alives and some delay.
 	silenceTimeout = 2*sitecontrol.KeepAliveInterval + 200*time.Millisecond
 	// probeTimeout bounds the wait until one of several control hosts accepts
-	// a connection.
-	probeTimeout        = 700 * time.Millisecond
-	retryDelay          = 200 * time.Millisecond
+	// a connection. A new attempt reaches a host that has started meanwhile
+	// sooner than the repeated packet of a lost one, which follows after 1 s.
+	probeTimeout        = 300 * time.Millisecond
+	retryDelay          = 100 * time.Millisecond
 	reportCheckInterval = 50 * time.Millisecond
 	reportTimeout       = 500 * time.Millisecond
 )
@@ -224,7 +225,11 @@
 	silence := time.AfterFunc(silenceTimeout, cancel)
 	defer silence.Stop()
 	client := w.clients.ForAddress(address)
-	request := connect.NewRequest(&pb.WatchSiteRequest{Proxy: w.options.Name, DataCentre: w.options.DataCentre})
+	message := &pb.WatchSiteRequest{Proxy: w.options.Name, DataCentre: w.options.DataCentre}
+	if _, leaving := w.reportTarget(); !leaving {
+		message.Relay = w.options.Relay
+	}
+	request := connect.NewRequest(message)
 	stream, err := client.Watch(ctx, request)
 	if err != nil {
 		return &fault.IO{Op: "watch", Err: err}
