Replace a lost primary sooner where hosts and answers are lost beside it

(1) Proxies that turned to another control host counted twice for 6 s, 22 for 15, so that half of them was never reached. (2) Through a relay a proxy reported the primary only after its own dial had timed out as well. (3) The leader counted the reports before its probe, which takes 400 ms to fail. (4) A call to the platform without an answer was given up after 1.5 s. (5) All groups waited for the slowest one at each step. Change: the end of a watch ends the report; a relay tells for how long an upstream has failed, and the proxy believes it until its own dial succeeds; reports are counted after the probe; a call without an answer is sent again, with its token, after 0.5 s; each group steps by itself. Ruled out: fewer proxies than half; a shorter time until the leader's own probes count, because it covers a lost packet. Tests: TestProxyThatLeavesAControlHostIsNotCounted, TestLostOrderIsSentAgainSoon (red before: 1.70 s), TestGroupThatDoesNotAnswerDelaysNoOther and TestReportsDuringAProbeCount (red before: never).

--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -24,8 +24,9 @@
 	// of a connection whose relay fails is *RelayLost.
 	Dial(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
 	// Check asks the relay whether it reaches an upstream. It fails if the
-	// relay itself does not answer, which is then not used for a while.
-	Check(ctx context.Context, u *pb.SiteUpstream) (Reachability, error)
+	// relay itself does not answer, which is then not used for a while. If the
+	// upstream is unreachable, failedFor tells for how long.
+	Check(ctx context.Context, u *pb.SiteUpstream) (r Reachability, failedFor time.Duration, err error)
 	// Avoid makes another proxy the relay for an upstream for a while.
 	Avoid(upstreamID string)
 	// DialDirectly opens a connection to the upstream itself.
@@ -91,11 +92,13 @@
 }
 
 // checkThroughRelay finds out whether the upstream is reachable. A relay that says
-// that it is not may itself be cut off, so this proxy then tries to connect.
+// that it is not may itself be cut off. The upstream counts as unreachable at once,
+// but this proxy then tries to connect itself.
 func (p *pool) checkThroughRelay(ctx context.Context, u *pb.SiteUpstream) {
-	reachability, err := p.relays.Check(ctx, u)
+	reachability, failedFor, err := p.relays.Check(ctx, u)
 	reached := err == nil && reachability == Reachable
 	if err == nil && reachability == Unreachable {
+		p.recordFailedFor(failedFor)
 		reached, err = p.tryDirectly(ctx, u)
 	}
 	p.mu.Lock()
@@ -111,6 +114,17 @@
 	}
 }
 
+// recordFailedFor records a failure that began some time ago.
+func (p *pool) recordFailedFor(failedFor time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.failures == 0
+	p.recordFailureLocked()
+	if first {
+		p.failedSince = now().Add(-failedFor)
+	}
+}
+
 // tryDirectly opens a connection to the upstream. If it succeeds, the relay cannot
 // reach an upstream that others can, and another relay is chosen.
 func (p *pool) tryDirectly(ctx context.Context, u *pb.SiteUpstream) (reached bool, err error) {
@@ -154,16 +168,20 @@
 }
 
 // Reachability returns what this proxy knows of its connections to a process of an
-// upstream.
-func (p *Proxy) Reachability(id, address string, bornMs int64) Reachability {
+// upstream, and for how long they have failed.
+func (p *Proxy) Reachability(id, address string, bornMs int64) (r Reachability, failedFor time.Duration) {
 	pl, ok := p.directPool(poolKey{id: id, address: address, bornMs: bornMs})
+	if !ok {
+		return Unreachable, 0
+	}
+	failedFor = pl.unreachableFor()
 	switch {
-	case !ok || pl.unreachableFor() > 0:
-		return Unreachable
+	case failedFor > 0:
+		return Unreachable, failedFor
 	case pl.sinceAnswer() < stalledAfter:
-		return Reachable
+		return Reachable, 0
 	default:
-		return ReachabilityUnknown
+		return ReachabilityUnknown, 0
 	}
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -203,24 +203,24 @@
 }
 
 // Check implements proxy.Relays.
-func (c *Client) Check(ctx context.Context, u *pb.SiteUpstream) (proxy.Reachability, error) {
+func (c *Client) Check(ctx context.Context, u *pb.SiteUpstream) (r proxy.Reachability, failedFor time.Duration, err error) {
 	p := c.relay(u.Id)
 	if p == nil {
-		return proxy.ReachabilityUnknown, nil
+		return proxy.ReachabilityUnknown, 0, nil
 	}
 	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
 	if err != nil {
 		c.recordFailure(p, err)
-		return proxy.ReachabilityUnknown, &proxy.RelayLost{Relay: p.host.Name, Err: err}
+		return proxy.ReachabilityUnknown, 0, &proxy.RelayLost{Relay: p.host.Name, Err: err}
 	}
 	c.recordAnswer(p, false)
 	switch response.Msg.Reachability {
 	case pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE:
-		return proxy.Reachable, nil
+		return proxy.Reachable, 0, nil
 	case pb.UpstreamReachability_UPSTREAM_REACHABILITY_UNREACHABLE:
-		return proxy.Unreachable, nil
+		return proxy.Unreachable, duration(response.Msg.FailedMs), nil
 	default:
-		return proxy.ReachabilityUnknown, nil
+		return proxy.ReachabilityUnknown, 0, nil
 	}
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -83,11 +83,13 @@
 func (s *Server) Check(_ context.Context, r *connect.Request[pb.RelayCheckRequest]) (*connect.Response[pb.RelayCheckResponse], error) {
 	target := r.Msg.GetTarget()
 	response := &pb.RelayCheckResponse{}
-	switch s.proxy.Reachability(target.GetUpstream(), target.GetAddress(), target.GetBornMs()) {
+	reachability, failedFor := s.proxy.Reachability(target.GetUpstream(), target.GetAddress(), target.GetBornMs())
+	switch reachability {
 	case proxy.Reachable:
 		response.Reachability = pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE
 	case proxy.Unreachable:
 		response.Reachability = pb.UpstreamReachability_UPSTREAM_REACHABILITY_UNREACHABLE
+		response.FailedMs = milliseconds(failedFor)
 	}
 	return connect.NewResponse(response), nil
 }
--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -33,6 +33,15 @@
 	commitsLost bool
 	// loseAnswers makes promotions take effect and return an error.
 	loseAnswers bool
+	// loseOrders is how many promotions are lost: the call gets no answer and
+	// takes no effect.
+	loseOrders int
+	// hungGroup is a group whose status calls do not return before hungUntil is
+	// closed.
+	hungGroup string
+	hungUntil chan struct{}
+	// onProbe is called with the id of each upstream that is dead and probed.
+	onProbe func(id string)
 }
 
 type order struct {
@@ -47,6 +56,15 @@
 func (f *fakeUpstreams) Status(_ context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if u.Group == f.hungGroup {
+		f.mu.Unlock()
+		<-f.hungUntil
+		f.mu.Lock()
+		return UpstreamStatus{}, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
+	}
+	if f.dead[u.Id] && f.onProbe != nil {
+		f.onProbe(u.Id)
+	}
 	if f.dead[u.Id] {
 		return UpstreamStatus{}, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
 	}
@@ -75,10 +93,17 @@
 	return f.Status(ctx, u)
 }
 
-func (f *fakeUpstreams) Promote(_ context.Context, group, id, holder string, token uint64) error {
+func (f *fakeUpstreams) Promote(ctx context.Context, group, id, holder string, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order{group, id, holder, token})
+	if f.loseOrders > 0 {
+		f.loseOrders--
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return &fault.IO{Op: "promote", Err: ctx.Err()}
+	}
 	if f.dead[id] {
 		return &PromotionRefused{Group: group, Upstream: id, Token: token}
 	}
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -36,7 +37,12 @@
 	// commits. Replicas are usually tens of milliseconds behind.
 	catchUpTimeout  = 800 * time.Millisecond
 	catchUpInterval = 20 * time.Millisecond
-	promoteTimeout  = 1500 * time.Millisecond
+	// promoteTimeout bounds the wait for the platform's answer, which comes at
+	// once unless it is lost. It covers a round trip between regions and the
+	// retransmission of a lost packet.
+	promoteTimeout = 400 * time.Millisecond
+	// unansweredRetryPause is the pause after an order without an answer.
+	unansweredRetryPause = 100 * time.Millisecond
 	// promoteRetryInterval is the pause before a promotion order that had no
 	// effect yet is sent to the platform again.
 	promoteRetryInterval = 900 * time.Millisecond
@@ -50,6 +56,9 @@
 type groupWatch struct {
 	server *Server
 	group  string
+	// stepping is set while a step runs. The fields below are used by that step
+	// only.
+	stepping atomic.Bool
 	// probedAt is when the last probe began. unavailableSince is since when
 	// this host has found no primary that answers, zero if the last probe
 	// found one.
@@ -67,20 +76,27 @@
 	orderSentAt time.Time
 }
 
+// runGroups lets each group take a step at each interval. A group whose step takes
+// longer, because an upstream or the platform does not answer, delays no other.
 func (s *Server) runGroups(ctx context.Context) {
 	watches := make(map[string]*groupWatch)
+	var steps conc.WaitGroup
+	defer steps.Wait()
 	for pause.For(ctx, groupInterval) {
 		state, _, _ := s.options.State.Current()
-		var group conc.WaitGroup
 		for _, g := range state.Config.GetGroups() {
 			w, ok := watches[g.Name]
 			if !ok {
 				w = &groupWatch{server: s, group: g.Name}
 				watches[g.Name] = w
 			}
-			group.Go(func() { w.step(ctx) })
+			if w.stepping.CompareAndSwap(false, true) {
+				steps.Go(func() {
+					defer w.stepping.Store(false)
+					w.step(ctx)
+				})
+			}
 		}
-		group.Wait()
 	}
 }
 
@@ -166,6 +182,8 @@
 		w.server.log.Warn("primary does not answer", "group", w.group, "upstream", primary.Id, "error", err,
 			"proxies_missing_it", unreachable, "proxies", proxies)
 	}
+	// Proxies have reported while the probe waited for an answer.
+	unreachable, proxies = w.server.countUnreachable(primary.Id)
 	if w.gatherEvidence(primary, unreachable, proxies).lost() {
 		w.replace(ctx, primary, others, g, "primary is lost")
 	}
@@ -379,10 +397,14 @@
 	w.server.metrics.Counter("promotions_ordered_total").Inc(1)
 	w.server.log.Info("promotion order sent to the platform", "group", w.group, "upstream", id, "token", token, "error", err)
 	var refused *PromotionRefused
-	if errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
 		// An order with a higher token was accepted before, or the upstream is
 		// down. This order counts as timed out, so that another is made.
 		w.orderedAt = now().Add(-orderTimeout)
+	case err != nil:
+		// The same order may be sent again at any time; see checkOrder.
+		w.orderSentAt = now().Add(unansweredRetryPause - promoteRetryInterval)
 	}
 }
 
--- a/sitecontrol/promotion_test.go
+++ b/sitecontrol/promotion_test.go
@@ -1,7 +1,9 @@
 package sitecontrol
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -107,3 +109,71 @@
 	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
 	assert.Assert(t, !fake.commitsLost)
 }
+
+// Guards against a group without a primary for seconds because one call to the platform
+// was lost. The order is sent again with its token.
+func TestLostOrderIsSentAgainSoon(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := startCluster(t, 1, fake)
+	storeConfig(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	fake.edit(func() { fake.loseOrders = 1 })
+	leaving := newAnnouncement("p", true, 100, 2)
+	leaving.Leaving = true
+	announce(t, hosts[0], leaving)
+	fake.edit(func() { fake.received["r2"] = 30 })
+	waitFor(t, "the first order", func() bool { return len(fake.receivedOrders()) == 1 })
+	sentAt := time.Now()
+	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
+	assert.Check(t, time.Since(sentAt) < time.Second, "the order took effect after %v", time.Since(sentAt))
+	orders := fake.receivedOrders()
+	assert.Equal(t, orders[0].token, orders[1].token)
+}
+
+// Guards against a group that is not watched while the upstreams of others do not
+// answer, as when the hosts of some groups are cut off.
+func TestGroupThatDoesNotAnswerDelaysNoOther(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := startCluster(t, 1, fake)
+	config := &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: 10}, {Name: "hung", MaxConnections: 10}}}
+	waitFor(t, "configuration stored", func() bool {
+		return hosts[0].server.StoreConfig(context.Background(), config, []byte("one")) == nil
+	})
+	announceGroup(t, hosts[0], fake)
+	other := newAnnouncement("h", true, 100, 1)
+	other.Group = "hung"
+	announce(t, hosts[0], other)
+	waitFor(t, "the primary of the other group", func() bool { return primaryOf(hosts[0], "hung") == "h" })
+	fake.hungUntil = make(chan struct{})
+	t.Cleanup(func() { close(fake.hungUntil) })
+	fake.edit(func() { fake.hungGroup = "hung" })
+	leaving := newAnnouncement("p", true, 100, 2)
+	leaving.Leaving = true
+	announce(t, hosts[0], leaving)
+	fake.edit(func() { fake.received["r2"] = 30 })
+	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
+}
+
+// Guards against reports of proxies that arrive while a probe of the primary waits for
+// its timeout, and are counted only with the next probe.
+func TestReportsDuringAProbeCount(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := startCluster(t, 1, fake)
+	storeConfig(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	fake.edit(func() {
+		fake.dead["p"] = true
+		fake.onProbe = func(string) {
+			reportUnreachable(hosts[0], "p")
+			s := hosts[0].server
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for name, r := range s.reports {
+				// Expires before the next probe.
+				r.receivedAt = now().Add(groupInterval/2 - unreachableLifetime)
+				s.reports[name] = r
+			}
+		}
+	})
+	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
+}
--- a/sitecontrol/relays_test.go
+++ b/sitecontrol/relays_test.go
@@ -81,3 +81,19 @@
 	}
 	assert.DeepEqual(t, lists, [][]string{{"a"}})
 }
+
+// Guards against proxies that count twice after they have turned to another control
+// host, so that the share of those that miss a primary looks too small.
+func TestProxyThatLeavesAControlHostIsNotCounted(t *testing.T) {
+	s := New(Options{Name: "c1", State: site.NewState()})
+	request := &pb.WatchSiteRequest{Proxy: "a", DataCentre: "here", Relay: &pb.RelayHost{Name: "a"}}
+	first := s.beginWatch(request)
+	assert.Equal(t, s.gatherReports(true).Proxies, uint32(1))
+	second := s.beginWatch(request)
+	s.endWatch("a", first)
+	assert.Equal(t, s.gatherReports(true).Proxies, uint32(1), "the end of an earlier watch dropped the report")
+	assert.Equal(t, len(s.relaysOf("here")), 1)
+	s.endWatch("a", second)
+	assert.Equal(t, s.gatherReports(true).Proxies, uint32(0))
+	assert.Equal(t, len(s.relaysOf("here")), 0)
+}
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -41,18 +41,34 @@
 	return connect.NewResponse(&pb.ReportResponse{}), nil
 }
 
-// recordWatcher records a proxy that begins to watch this host, as its first report
-// would, unless it has reported already.
-func (s *Server) recordWatcher(r *pb.WatchSiteRequest) {
+// beginWatch records a proxy that begins to watch this host, as its first report
+// would, unless it has reported already. It returns the number of the watch.
+func (s *Server) beginWatch(r *pb.WatchSiteRequest) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lastWatch++
+	s.watches[r.Proxy] = s.lastWatch
 	previous := s.reports[r.Proxy].message
-	if previous != nil && proto.Equal(previous.Relay, r.Relay) {
+	if previous == nil || !proto.Equal(previous.Relay, r.Relay) {
+		first := &pb.ReportRequest{Reporter: r.Proxy, Proxies: 1, Relay: r.Relay, DataCentre: r.DataCentre}
+		s.setRelayLocked(r.Proxy, previous, first)
+		s.reports[r.Proxy] = report{message: first, receivedAt: now()}
+	}
+	return s.lastWatch
+}
+
+// endWatch drops the report of a proxy whose watch has ended, unless it has begun a
+// later one. The proxy reports to the host that it watches next, and must not be
+// counted twice.
+func (s *Server) endWatch(name string, watch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watches[name] != watch {
 		return
 	}
-	first := &pb.ReportRequest{Reporter: r.Proxy, Proxies: 1, Relay: r.Relay, DataCentre: r.DataCentre}
-	s.setRelayLocked(r.Proxy, previous, first)
-	s.reports[r.Proxy] = report{message: first, receivedAt: now()}
+	delete(s.watches, name)
+	s.setRelayLocked(name, s.reports[name].message, nil)
+	delete(s.reports, name)
 }
 
 // setRelayLocked updates the relays of a data centre when the report of a proxy is
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -112,6 +112,10 @@
 	mu sync.Mutex
 	// reports holds the newest report of each reporter.
 	reports map[string]report
+	// watches holds the number of the latest watch of each proxy that watches
+	// this host; lastWatch is the highest one.
+	watches   map[string]uint64
+	lastWatch uint64
 	// relays holds, by data centre, the proxies that report to this host and
 	// relay commands for others, sorted by name. A change replaces the slice.
 	relays map[string][]*pb.RelayHost
@@ -150,6 +154,7 @@
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
 		reports:       make(map[string]report),
+		watches:       make(map[string]uint64),
 		relays:        make(map[string][]*pb.RelayHost),
 		announcements: make(map[string]announcement),
 		samples:       make(map[string]*positionSample),
--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -53,7 +53,7 @@
 		return unavailable(noLeader())
 	}
 	s.log.Info("proxy watches the site", "proxy", r.Msg.Proxy)
-	s.recordWatcher(r.Msg)
+	defer s.endWatch(r.Msg.Proxy, s.beginWatch(r.Msg))
 	if err := s.readCommitted(ctx); err != nil {
 		return unavailable(err)
 	}
