A new leader takes over an open promotion order under a token of its own

Two control hosts acted under one token. Change: an order names the host that logged it, and only that host sends it. A new leader first logs an order of its own for the same upstream, whose token is higher, so that the platform refuses the earlier one from then on. Ruled out: waiting until the earlier order has certainly ended, because the platform may carry it out seconds later. Test: TestNewLeaderTakesOverAnOpenOrder, red before with two holders of one token.

--- a/site/state.go
+++ b/site/state.go
@@ -176,7 +176,7 @@
 		return false
 	}
 	editGroup(state, c.Group, func(g *pb.SiteGroupState) {
-		g.Order, g.Ordered, g.OrderOpen = index, c.Upstream, true
+		g.Order, g.Ordered, g.OrderOpen, g.OrderHolder = index, c.Upstream, true, c.Holder
 	})
 	return true
 }
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -319,18 +319,46 @@
 		w.server.log.Warn("no replica answers that could take over as the primary", "group", w.group, "reason", reason)
 		return
 	}
-	command := &pb.OrderPrimary{Group: w.group, Upstream: best.upstream.Id, PreviousOrder: g.GetOrder()}
-	result, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{OrderPrimary: command}})
+	token, ok := w.logOrder(ctx, best.upstream.Id, g)
 	w.server.log.Info("leader proposed an order to change the primary", "group", w.group, "from", primary.GetId(), "to", best.upstream.Id,
-		"reason", reason, "position", best.status.Received, "token", result.GetIndex(), "error", err)
-	if err != nil || !result.Changed {
+		"reason", reason, "position", best.status.Received, "token", token, "logged", ok)
+	if !ok {
 		return
 	}
-	w.orderedAt = now()
 	if primary != nil && w.unavailableSince.IsZero() {
 		w.stepDownPrimary(ctx, primary, best.upstream)
 	}
-	w.sendOrder(ctx, best.upstream.Id, result.Index)
+	w.sendOrder(ctx, best.upstream.Id, token)
+}
+
+// logOrder logs an order of this host to promote an upstream, and returns its token.
+// It reports false if the order was not logged, because this host no longer leads
+// or another order was logged since g.
+func (w *groupWatch) logOrder(ctx context.Context, id string, g *pb.SiteGroupState) (token uint64, ok bool) {
+	command := &pb.OrderPrimary{Group: w.group, Upstream: id, PreviousOrder: g.GetOrder(), Holder: w.server.options.Name}
+	result, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{OrderPrimary: command}})
+	if err != nil {
+		w.server.log.Warn("order to change the primary could not be logged", "group", w.group, "upstream", id, "error", err)
+		return 0, false
+	}
+	if !result.Changed {
+		return 0, false
+	}
+	w.orderedAt = now()
+	return result.Index, true
+}
+
+// takeOver replaces an open order of an earlier leader, which may still send it, by
+// an order of this host for the same upstream. Two hosts must not send orders with
+// the same token. The platform refuses the earlier order once it has accepted this
+// one, and promoting an upstream that is the primary by then changes nothing.
+func (w *groupWatch) takeOver(ctx context.Context, g *pb.SiteGroupState) {
+	token, ok := w.logOrder(ctx, g.Ordered, g)
+	w.server.log.Info("leader takes over the open order of another control host", "group", w.group, "upstream", g.Ordered,
+		"holder", g.OrderHolder, "previous_token", g.Order, "token", token, "logged", ok)
+	if ok {
+		w.sendOrder(ctx, g.Ordered, token)
+	}
 }
 
 // stepDownPrimary asks a primary that still answers to step down, and waits
@@ -430,7 +458,10 @@
 		w.replace(ctx, primary, others, g, "previous order was not carried out")
 		return
 	}
-	if now().Sub(w.orderSentAt) >= promoteRetryInterval {
+	switch {
+	case g.OrderHolder != w.server.options.Name:
+		w.takeOver(ctx, g)
+	case now().Sub(w.orderSentAt) >= promoteRetryInterval:
 		w.sendOrder(ctx, g.Ordered, g.Order)
 	}
 }
--- a/sitecontrol/promotion_test.go
+++ b/sitecontrol/promotion_test.go
@@ -177,3 +177,54 @@
 	})
 	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
 }
+
+// Guards against two control hosts that send a promotion order with the same token
+// after the leader has changed while the order was open.
+func TestNewLeaderTakesOverAnOpenOrder(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := startCluster(t, 3, fake)
+	storeConfig(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	fake.edit(func() {
+		fake.dead["p"] = true
+		fake.loseOrders = 1000
+	})
+	waitFor(t, "an order", func() bool {
+		for _, h := range hosts {
+			reportUnreachable(h, "p")
+		}
+		return len(fake.receivedOrders()) > 0
+	})
+	first := fake.receivedOrders()[0]
+	rest := stopHost(t, hosts, first.holder)
+	waitFor(t, "an order of another leader", func() bool {
+		orders := fake.receivedOrders()
+		return orders[len(orders)-1].holder != first.holder
+	})
+	fake.edit(func() { fake.loseOrders = 0 })
+	waitFor(t, "another primary", func() bool { return primaryOf(rest[0], "g") == "r2" })
+	holders := map[uint64]string{}
+	for _, o := range fake.receivedOrders() {
+		assert.Equal(t, o.id, "r2")
+		if holder, ok := holders[o.token]; ok {
+			assert.Equal(t, holder, o.holder, "two holders of token %d", o.token)
+		}
+		holders[o.token] = o.holder
+	}
+}
+
+// stopHost stops the host with the given name and returns the others.
+func stopHost(t *testing.T, hosts []*testHost, name string) []*testHost {
+	t.Helper()
+	var rest []*testHost
+	for _, h := range hosts {
+		if h.server.options.Name == name {
+			h.stop()
+			h.stop = func() {}
+			continue
+		}
+		rest = append(rest, h)
+	}
+	assert.Equal(t, len(rest), len(hosts)-1)
+	return rest
+}
