Remember removed upstreams, so that delayed announcements don't bring them back

After a change of leader or a restart, an announcement that had been delayed on its way recorded the upstream again, and callers were sent to it. Change: the replicated state holds the last 1,024 removed processes by id and start time and refuses announcements of these and earlier ones. Ruled out: the sequence number alone, because a restarted process counts anew. Test: TestRemovedUpstreamStaysRemoved, red without the check ('a delayed announcement'). Also TestSlowRelayKeepsItsRunningWork: a relay that takes 700 ms for each command keeps its running work, nothing runs twice and the primary isn't reported.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -343,3 +343,27 @@
 	assert.Assert(t, session.Do(context.Background(), write("after", "x")).Refusal == nil)
 	assert.Equal(t, s.runsOf("x"), 0)
 }
+
+// Guards against a relay that is only slow and whose running commands are given up or
+// run again elsewhere.
+func TestSlowRelayKeepsItsRunningWork(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	s.commandDelay = 700 * time.Millisecond
+	relay := s.relayFor("p1")
+	var callers sync.WaitGroup
+	for _, p := range s.proxies {
+		if p == relay {
+			continue
+		}
+		callers.Go(func() {
+			session := open(t, p, "latest")
+			id := "slow-" + p.name
+			reply := session.Do(context.Background(), write(id, ""))
+			assert.Check(t, reply.Refusal == nil || s.runsOf(id) == 0, "%s: %v", id, reply.Refusal)
+			assert.Check(t, reply.Refusal != nil || s.runsOf(id) == 1, "%s ran %d times", id, s.runsOf(id))
+		})
+	}
+	callers.Wait()
+	unreachable, _ := s.proxies[0].PrimaryReachability()
+	assert.Equal(t, len(unreachable), 0)
+}
--- a/site/state.go
+++ b/site/state.go
@@ -60,6 +60,7 @@
 		Upstreams: slices.Clone(s.current.Upstreams),
 		Groups:    slices.Clone(s.current.Groups),
 		Proxies:   s.current.Proxies,
+		Removed:   s.current.Removed,
 	}
 	if !applyCommand(next, index, c) {
 		return false
@@ -115,7 +116,7 @@
 }
 
 func recordUpstream(state *pb.SiteState, u *pb.SiteUpstream) bool {
-	if u == nil || !evictAddress(state, u) {
+	if u == nil || wasRemoved(state, u) || !evictAddress(state, u) {
 		return false
 	}
 	i := slices.IndexFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == u.Id })
@@ -151,7 +152,27 @@
 	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(r *pb.SiteUpstream) bool {
 		return r.Id == c.Id && r.BornMs == c.BornMs
 	})
-	return len(state.Upstreams) != before
+	if len(state.Upstreams) == before {
+		return false
+	}
+	// Earlier states share the slice, so it is copied.
+	latest := state.Removed[max(0, len(state.Removed)+1-maxRemoved):]
+	state.Removed = append(slices.Clone(latest), &pb.RemovedUpstream{Id: c.Id, BornMs: c.BornMs})
+	return true
+}
+
+// maxRemoved bounds the removed processes that the state holds. At the size of
+// docs/CAPACITY.md that is more than a day's restarts, while an announcement is
+// delayed for minutes at most.
+const maxRemoved = 1024
+
+// wasRemoved reports whether u is a delayed announcement of a process that was
+// removed, or of an earlier one of the same upstream. A process without a start
+// time cannot be told from its successors.
+func wasRemoved(state *pb.SiteState, u *pb.SiteUpstream) bool {
+	return u.BornMs != 0 && slices.ContainsFunc(state.Removed, func(r *pb.RemovedUpstream) bool {
+		return r.Id == u.Id && r.BornMs >= u.BornMs
+	})
 }
 
 // editGroup applies edit to a copy of a group's record, or to a new record if the
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -131,3 +131,32 @@
 	assert.Assert(t, restored.Restore([]byte{0xff}) != nil)
 	assert.Assert(t, l.state.Apply(99, []byte{0xff}) != nil, "a broken command changes nothing")
 }
+
+// Guards against an upstream that has left and is used again, because an announcement
+// that was delayed arrives after its removal, at a leader that has been started since
+// and remembers only the log.
+func TestRemovedUpstreamStaysRemoved(t *testing.T) {
+	l := newTestLog(t)
+	remove := func(id string, born int64) {
+		l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_RemoveUpstream{RemoveUpstream: &pb.RemoveSiteUpstream{Id: id, BornMs: born}}})
+	}
+	l.record("a", "10.0.0.1:1", 100, 5)
+	remove("a", 100)
+	data, err := l.state.Snapshot()
+	assert.NilError(t, err)
+	restarted := newTestLog(t)
+	assert.NilError(t, restarted.state.Restore(data))
+	restarted.index = l.index
+	assert.Assert(t, !restarted.record("a", "10.0.0.1:1", 100, 4), "a delayed announcement")
+	assert.Assert(t, !restarted.record("a", "10.0.0.1:1", 90, 9), "one of an earlier process")
+	assert.Assert(t, restarted.record("a", "10.0.0.1:1", 200, 1), "the same id, started again")
+
+	l.record("old", "10.0.0.2:1", 0, 1)
+	remove("old", 0)
+	assert.Assert(t, l.record("old", "10.0.0.2:1", 0, 1), "processes without a start time cannot be told apart")
+	for born := range int64(3 * maxRemoved) {
+		l.record("b", "10.0.0.3:1", born+1, 1)
+		remove("b", born+1)
+	}
+	assert.Equal(t, len(l.current().Removed), maxRemoved)
+}
