--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,11 @@
 .PHONY: experiment
 experiment:
 	go test ./proxy -count=1 -run TestExperiment -v -args -experiment.out=$(CURDIR)/docs/notes
+
+# Plays quick scores of the regression sites with the users' bench. KIT is the folder
+# that holds their site files, BENCH the program. No other target needs them.
+REGRESSION_SITES := further/kistenbund.toml further-grown/kistenbund-grown.toml large/tahimik-pool-large.toml
+.PHONY: regression
+regression:
+	@test -n "$(KIT)" -a -n "$(BENCH)" || { echo "set KIT and BENCH"; exit 1; }
+	for site in $(REGRESSION_SITES); do $(BENCH) score $(KIT)/$$site --quick --jobs $$(( ($$(nproc) + 1) / 2 )) --why "regression run" || exit 1; done
