Copy a relay's answers before its connection is used again

The answers of an exchange are valid until the next one on the connection, and the relay returned the connection to its pool before the answers were passed on. Another caller's answers could take their place. Test: TestAnswersReachTheirCallers, with a stand-in that reuses its answers as the contract allows; red before ('answered with COMPLETE proxy-17.1187' for proxy-7).

--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lovageslip/fault"
@@ -272,6 +273,8 @@
 		return nil, &fault.IO{Op: "relay to upstream", Err: err}
 	}
 	c.pool.recordRelayed(commands[0], answers[0].Code, now().Sub(sentAt))
+	// The connection reuses the slice as soon as it is back in the pool.
+	answers = slices.Clone(answers)
 	if answers[len(answers)-1].State == StateIdle {
 		r.bound = nil
 		c.pool.release(c)
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -153,6 +153,8 @@
 	values   map[string]string
 	prepared map[string]string
 	inTx     []string // requests that ran in the open transaction
+	// answers is reused, as the contract of proxy.Conn allows.
+	answers []proxy.Answer
 }
 
 // Dial implements proxy.Dialer.
@@ -185,12 +187,12 @@
 }
 
 func (c *fakeConn) Exchange(_ time.Time, commands ...proxy.Command) ([]proxy.Answer, error) {
-	var answers []proxy.Answer
+	c.answers = c.answers[:0]
 	for _, command := range commands {
 		time.Sleep(c.site.commandDelay)
-		answers = append(answers, c.run(command))
+		c.answers = append(c.answers, c.run(command))
 	}
-	return answers, nil
+	return c.answers, nil
 }
 
 func (c *fakeConn) run(command proxy.Command) proxy.Answer {
@@ -213,10 +215,11 @@
 	default:
 		code = c.forward(command)
 	}
-	return proxy.Answer{
-		Code: code, State: c.state, Body: []byte("COMPLETE " + c.id + " " + command.Name),
-		Position: upstream.Position{Term: 1, Offset: s.offset},
+	a := proxy.Answer{Code: code, State: c.state, Position: upstream.Position{Term: 1, Offset: s.offset}}
+	if command.Kind == proxy.CommandForward {
+		a.Body = []byte("COMPLETE " + command.Statement.ID)
 	}
+	return a
 }
 
 // forward runs a caller's statement. A statement whose text is "WRITE" followed by
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,6 +69,7 @@
 				}
 				id := fmt.Sprintf("%s.%d", p.name, n)
 				result.count(s, id, runWrite(session, id, p.name, n%2 == 1))
+				result.checkRead(session, id+"g")
 			}
 		})
 	}
@@ -90,6 +91,14 @@
 	return session.Do(ctx, &proxy.Statement{ID: id + "c", Kind: proxy.KindCommit, Text: "COMMIT"}).Refusal
 }
 
+// checkRead reads and checks that the answer is that of the read.
+func (r *callerResult) checkRead(session *proxy.Session, id string) {
+	reply := session.Do(context.Background(), read(id))
+	if reply.Refusal == nil && string(reply.Body) != "COMPLETE "+id {
+		r.wrong.Store(id, fmt.Sprintf("answered with %q", reply.Body))
+	}
+}
+
 func (r *callerResult) count(s *fakeSite, id string, refusal *proxy.Refusal) {
 	runs := s.runsOf(id)
 	switch {
@@ -166,6 +175,18 @@
 	assert.Equal(t, s.runsOf("e"), 1)
 }
 
+// Guards against an answer that reaches another caller, because its connection is used
+// again before the relay has passed it on.
+func TestAnswersReachTheirCallers(t *testing.T) {
+	s := newFakeSite(t, 24, 6)
+	stop, result := make(chan struct{}), &callerResult{}
+	callers := s.runCallers(stop, result)
+	waitFor(t, "writes", func() bool { return result.served.Load() > 20_000 })
+	close(stop)
+	callers.Wait()
+	result.check(t, s)
+}
+
 // Guards against writes with an unknown or a wrong outcome, and against aborted
 // transactions, when a relay is stopped as planned while others use it.
 func TestRelayStopsAsPlannedUnderLoad(t *testing.T) {
