Proxies that reach no control host try again less and less often

Each proxy dialed all control hosts that it knew several times a second for as long as none could serve it. Change: the pause doubles from the second failure on, up to 1.5 s, with jitter, until a watch has lasted for 5 s. The first two attempts stay as close as before, for a restart of everything.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -39,8 +39,14 @@
 	// probeTimeout bounds the wait until one of several control hosts accepts
 	// a connection. A new attempt reaches a host that has started meanwhile
 	// sooner than the repeated packet of a lost one, which follows after 1 s.
-	probeTimeout        = 300 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+	// retryDelay is the pause after a first failure. It doubles from the second
+	// on, up to maxRetryDelay, until a watch has lasted for stableWatch: hundreds
+	// of proxies that try again at once would keep control hosts from
+	// recovering.
 	retryDelay          = 100 * time.Millisecond
+	maxRetryDelay       = 1500 * time.Millisecond
+	stableWatch         = 5 * time.Second
 	reportCheckInterval = 50 * time.Millisecond
 	reportTimeout       = 500 * time.Millisecond
 )
@@ -106,20 +112,33 @@
 	defer tasks.Wait()
 	tasks.Go(func() { w.runReports(ctx, p) })
 	failedAt := make(map[string]time.Time)
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil; failures++ {
 		address, ok := w.nearest(ctx, failedAt)
 		if !ok {
-			pause.For(ctx, retryDelay)
+			pause.For(ctx, retryPause(failures))
 			continue
 		}
+		begunAt := bootclock.Now()
 		err := w.watch(ctx, address, p)
 		w.log.Warn("watch of a control host ended", "address", address, "index", w.index(), "error", err)
 		w.metrics.Counter("control_hosts_lost_total").Inc(1)
 		failedAt[address] = bootclock.Now()
-		pause.For(ctx, retryDelay/4)
+		if bootclock.Since(begunAt) >= stableWatch {
+			failures = 0
+		}
+		if failures > 0 {
+			pause.For(ctx, retryPause(failures))
+		}
 	}
 }
 
+// retryPause returns a random pause after a number of failures since the last stable
+// watch, between half and one and a half times the mean.
+func retryPause(failures int) time.Duration {
+	mean := min(retryDelay<<min(max(failures-1, 0), 10), maxRetryDelay)
+	return mean/2 + rand.N(mean)
+}
+
 func (w *Watch) index() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/sitewatch/sitewatch_test.go
+++ b/sitewatch/sitewatch_test.go
@@ -27,3 +27,15 @@
 	candidates, _ = splitByFailure(addresses, failedAt, now.Add(failedHostBackoff))
 	assert.DeepEqual(t, candidates, addresses)
 }
+
+// Guards against hundreds of proxies that keep control hosts from recovering, because
+// each tries again several times a second while none of them can serve it.
+func TestRetriesBecomeRarer(t *testing.T) {
+	assert.Check(t, retryPause(0) <= 2*retryDelay)
+	var waited time.Duration
+	attempts := 0
+	for ; waited < 10*time.Second; attempts++ {
+		waited += retryPause(attempts)
+	}
+	assert.Check(t, attempts <= 16, "%d attempts in 10 s", attempts)
+}
