--- a/exchange/wire.go
+++ b/exchange/wire.go
@@ -46,7 +46,7 @@
 		Upstream:      o.Upstream,
 		Class:         o.Class,
 		ConfigVersion: o.ConfigVersion,
-		MinPosition:   positionToWire(o.MinPosition),
+		MinPosition:   PositionToWire(o.MinPosition),
 		Caller:        o.Caller,
 		RequestId:     requestID,
 		EntryHost:     o.EntryHost,
@@ -59,7 +59,7 @@
 		Upstream:      o.GetUpstream(),
 		Class:         o.GetClass(),
 		ConfigVersion: o.GetConfigVersion(),
-		MinPosition:   positionFromWire(o.GetMinPosition()),
+		MinPosition:   PositionFromWire(o.GetMinPosition()),
 		Caller:        o.GetCaller(),
 		EntryHost:     o.GetEntryHost(),
 	}
@@ -99,7 +99,7 @@
 func doneToWire(d BatchResult) *lovageslipv1.RunResponse {
 	done := &lovageslipv1.BatchDone{
 		State:         lovageslipv1.TransactionState(d.State),
-		Commit:        positionToWire(d.Commit),
+		Commit:        PositionToWire(d.Commit),
 		Hint:          hintToWire(d.Hint),
 		DatabaseError: d.DatabaseError,
 		SpentMicros:   d.OwnerTime.Microseconds(),
@@ -110,7 +110,7 @@
 func doneFromWire(d *lovageslipv1.BatchDone) BatchResult {
 	return BatchResult{
 		State:         upstream.TransactionState(d.GetState()),
-		Commit:        positionFromWire(d.GetCommit()),
+		Commit:        PositionFromWire(d.GetCommit()),
 		DatabaseError: d.GetDatabaseError(),
 		OwnerTime:     micros(d.GetSpentMicros()),
 		Hint:          hintFromWire(d.GetHint()),
@@ -144,14 +144,16 @@
 	}
 }
 
-func positionToWire(p upstream.Position) *lovageslipv1.Position {
+// PositionToWire encodes a position; the zero position is encoded as nil.
+func PositionToWire(p upstream.Position) *lovageslipv1.Position {
 	if p == (upstream.Position{}) {
 		return nil
 	}
 	return &lovageslipv1.Position{Term: uint64(p.Term), Offset: uint64(p.Offset)}
 }
 
-func positionFromWire(p *lovageslipv1.Position) upstream.Position {
+// PositionFromWire decodes a position; nil stands for the zero position.
+func PositionFromWire(p *lovageslipv1.Position) upstream.Position {
 	return upstream.Position{Term: upstream.Term(p.GetTerm()), Offset: upstream.Offset(p.GetOffset())}
 }
 
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -53,7 +53,7 @@
 }
 
 func newFakeSite(t testing.TB, proxies, maxConnections int) *fakeSite {
-	s := &fakeSite{t: t, maxConnections: maxConnections, open: map[string]int{}, runs: map[string]int{}, offset: 100}
+	s := &fakeSite{t: t, maxConnections: maxConnections, open: map[string]int{}, runs: map[string]int{}, offset: 100, commandDelay: time.Millisecond}
 	s.parts.Config = &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: uint32(maxConnections)}}}
 	for database, freshness := range map[string]pb.Freshness{"latest": pb.Freshness_FRESHNESS_LATEST, "bounded": pb.Freshness_FRESHNESS_BOUNDED} {
 		s.parts.Config.Routes = append(s.parts.Config.Routes, &pb.SiteRoute{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,9 +20,9 @@
 import (
 	"time"
 
+	"lovageslip/exchange"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/proxy"
-	"lovageslip/upstream"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 func commandToWire(c proxy.Command) *pb.RelayCommand {
 	w := &pb.RelayCommand{Kind: uint32(c.Kind), Name: c.Name, Value: c.Value, ReadOnly: c.ReadOnly}
-	w.MinPosition = positionToWire(c.MinPosition)
+	w.MinPosition = exchange.PositionToWire(c.MinPosition)
 	if st := c.Statement; st != nil {
 		w.Request = st.ID
 		w.Execute = st.Kind == proxy.KindExecute
@@ -59,7 +59,7 @@
 
 func commandFromWire(w *pb.RelayCommand) proxy.Command {
 	c := proxy.Command{Kind: proxy.CommandKind(w.Kind), Name: w.Name, Value: w.Value, ReadOnly: w.ReadOnly}
-	c.MinPosition = positionFromWire(w.MinPosition)
+	c.MinPosition = exchange.PositionFromWire(w.MinPosition)
 	if c.Kind == proxy.CommandForward {
 		c.Statement = &proxy.Statement{ID: w.Request, Text: w.Text}
 		if w.Execute {
@@ -82,23 +82,12 @@
 	return len(commands) > 0
 }
 
-func positionToWire(p upstream.Position) *pb.Position {
-	if p == (upstream.Position{}) {
-		return nil
-	}
-	return &pb.Position{Term: uint64(p.Term), Offset: uint64(p.Offset)}
-}
-
-func positionFromWire(w *pb.Position) upstream.Position {
-	return upstream.Position{Term: upstream.Term(w.GetTerm()), Offset: upstream.Offset(w.GetOffset())}
-}
-
 func answerToWire(a proxy.Answer) *pb.RelayAnswer {
-	return &pb.RelayAnswer{Body: a.Body, Code: uint32(a.Code), State: uint32(a.State), Position: positionToWire(a.Position)}
+	return &pb.RelayAnswer{Body: a.Body, Code: uint32(a.Code), State: uint32(a.State), Position: exchange.PositionToWire(a.Position)}
 }
 
 func answerFromWire(w *pb.RelayAnswer) proxy.Answer {
-	return proxy.Answer{Body: w.GetBody(), Code: proxy.Code(w.GetCode()), State: proxy.TransactionState(w.GetState()), Position: positionFromWire(w.GetPosition())}
+	return proxy.Answer{Body: w.GetBody(), Code: proxy.Code(w.GetCode()), State: proxy.TransactionState(w.GetState()), Position: exchange.PositionFromWire(w.GetPosition())}
 }
 
 // milliseconds returns a duration in whole milliseconds for the wire, rounded up
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,6 +76,19 @@
 	return &callers
 }
 
+// startCallers starts the callers and waits until they have written. stop ends them
+// and waits for that.
+func (s *fakeSite) startCallers() (result *callerResult, stop func()) {
+	stopped := make(chan struct{})
+	result = &callerResult{}
+	callers := s.runCallers(stopped, result)
+	waitFor(s.t, "writes", func() bool { return result.served.Load() > 200 })
+	return result, func() {
+		close(stopped)
+		callers.Wait()
+	}
+}
+
 // runWrite writes in a single statement or in a transaction, and returns the last
 // refusal.
 func runWrite(session *proxy.Session, id, caller string, transaction bool) *proxy.Refusal {
@@ -136,7 +149,6 @@
 // connections.
 func TestFewConnectionsForManyProxies(t *testing.T) {
 	s := newFakeSite(t, 40, 30)
-	s.commandDelay = time.Millisecond
 	var callers sync.WaitGroup
 	const each = 60
 	for _, p := range s.proxies {
@@ -159,12 +171,9 @@
 // that reach another one over the connections that they share at a relay.
 func TestCallersDoNotMixAtARelay(t *testing.T) {
 	s := newFakeSite(t, 12, 6)
-	s.commandDelay = time.Millisecond
-	stop, result := make(chan struct{}), &callerResult{}
-	callers := s.runCallers(stop, result)
+	result, stop := s.startCallers()
 	waitFor(t, "writes", func() bool { return result.served.Load() > 1000 })
-	close(stop)
-	callers.Wait()
+	stop()
 	result.check(t, s)
 	assert.Equal(t, result.unknown.Load(), int64(0))
 
@@ -179,11 +188,10 @@
 // again before the relay has passed it on.
 func TestAnswersReachTheirCallers(t *testing.T) {
 	s := newFakeSite(t, 24, 6)
-	stop, result := make(chan struct{}), &callerResult{}
-	callers := s.runCallers(stop, result)
+	s.commandDelay = 0
+	result, stop := s.startCallers()
 	waitFor(t, "writes", func() bool { return result.served.Load() > 20_000 })
-	close(stop)
-	callers.Wait()
+	stop()
 	result.check(t, s)
 }
 
@@ -191,11 +199,8 @@
 // transactions, when a relay is stopped as planned while others use it.
 func TestRelayStopsAsPlannedUnderLoad(t *testing.T) {
 	s := newFakeSite(t, 12, 6)
-	s.commandDelay = time.Millisecond
 	relay := s.relayFor("p1")
-	stop, result := make(chan struct{}), &callerResult{}
-	callers := s.runCallers(stop, result)
-	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	result, stop := s.startCallers()
 	relay.server.Leave()
 	before := result.served.Load()
 	waitFor(t, "more writes", func() bool { return result.served.Load() > before+200 })
@@ -205,8 +210,7 @@
 	relay.http.CloseClientConnections()
 	before = result.served.Load()
 	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+200 })
-	close(stop)
-	callers.Wait()
+	stop()
 	result.check(t, s)
 	assert.Equal(t, result.unknown.Load(), int64(0))
 	assert.Equal(t, result.refused.Load(), int64(0))
@@ -216,17 +220,13 @@
 // streams at once, without notice: they must be told apart from those that ran.
 func TestRelayClosesStreamsWithoutNotice(t *testing.T) {
 	s := newFakeSite(t, 12, 6)
-	s.commandDelay = time.Millisecond
 	relay := s.relayFor("p1")
-	stop, result := make(chan struct{}), &callerResult{}
-	callers := s.runCallers(stop, result)
-	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	result, stop := s.startCallers()
 	relay.server.Leave()
 	relay.server.Close()
 	before := result.served.Load()
 	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+200 })
-	close(stop)
-	callers.Wait()
+	stop()
 	result.check(t, s)
 	assert.Equal(t, result.unknown.Load(), int64(0))
 }
@@ -236,18 +236,14 @@
 // that goes without service for longer than it takes to choose another relay.
 func TestRelayIsLostUnderLoad(t *testing.T) {
 	s := newFakeSite(t, 12, 6)
-	s.commandDelay = time.Millisecond
 	relay := s.relayFor("p1")
-	stop, result := make(chan struct{}), &callerResult{}
-	callers := s.runCallers(stop, result)
-	waitFor(t, "writes", func() bool { return result.served.Load() > 200 })
+	result, stop := s.startCallers()
 	relay.http.Listener.Close()
 	relay.http.CloseClientConnections()
 	lostAt, before := time.Now(), result.served.Load()
 	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+100 })
 	assert.Check(t, time.Since(lostAt) < time.Second, "no service for %v", time.Since(lostAt))
-	close(stop)
-	callers.Wait()
+	stop()
 	result.check(t, s)
 }
 
--- /dev/null
+++ b/sitecontrol/order.go
@@ -0,0 +1,191 @@
+package sitecontrol
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
+	"lovageslip/site"
+	"lovageslip/upstream"
+)
+
+const (
+	// catchUpTimeout bounds the wait until a successor has received the last
+	// commits. Replicas are usually tens of milliseconds behind.
+	catchUpTimeout  = 800 * time.Millisecond
+	catchUpInterval = 20 * time.Millisecond
+	// promoteTimeout bounds the wait for the platform's answer, which comes at
+	// once unless it is lost. It covers a round trip between regions and the
+	// retransmission of a lost packet.
+	promoteTimeout = 400 * time.Millisecond
+	// unansweredRetryPause is the pause after an order without an answer.
+	unansweredRetryPause = 100 * time.Millisecond
+	// promoteRetryInterval is the pause before a promotion order that had no
+	// effect yet is sent to the platform again.
+	promoteRetryInterval = 900 * time.Millisecond
+	// orderTimeout is how long the promotion of an upstream may take before
+	// another one is ordered. The platform may carry an order out seconds
+	// after it was sent.
+	orderTimeout = 2500 * time.Millisecond
+)
+
+// replace logs an order to promote the replica that has received most, and sends
+// it to the platform. An upstream that is leaving is chosen only if there is no
+// other.
+func (w *groupWatch) replace(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState, reason string) {
+	if now().Sub(w.orderedAt) < promoteRetryInterval {
+		return
+	}
+	best := mostAdvanced(w.probeAll(ctx, others))
+	if best == nil {
+		w.server.log.Warn("no replica answers that could take over as the primary", "group", w.group, "reason", reason)
+		return
+	}
+	token, ok := w.logOrder(ctx, best.upstream.Id, g)
+	w.server.log.Info("leader proposed an order to change the primary", "group", w.group, "from", primary.GetId(), "to", best.upstream.Id,
+		"reason", reason, "position", best.status.Received, "token", token, "logged", ok)
+	if !ok {
+		return
+	}
+	if primary != nil && w.unavailableSince.IsZero() {
+		w.stepDownPrimary(ctx, primary, best.upstream)
+	}
+	w.sendOrder(ctx, best.upstream.Id, token)
+}
+
+// logOrder logs an order of this host to promote an upstream, and returns its token.
+// It reports false if the order was not logged, because this host no longer leads
+// or another order was logged since g.
+func (w *groupWatch) logOrder(ctx context.Context, id string, g *pb.SiteGroupState) (token uint64, ok bool) {
+	command := &pb.OrderPrimary{Group: w.group, Upstream: id, PreviousOrder: g.GetOrder(), Holder: w.server.options.Name}
+	result, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{OrderPrimary: command}})
+	if err != nil {
+		w.server.log.Warn("order to change the primary could not be logged", "group", w.group, "upstream", id, "error", err)
+		return 0, false
+	}
+	if !result.Changed {
+		return 0, false
+	}
+	w.orderedAt = now()
+	return result.Index, true
+}
+
+// takeOver replaces an open order of an earlier leader, which may still send it, by
+// an order of this host for the same upstream. Two hosts must not send orders with
+// the same token. The platform refuses the earlier order once it has accepted this
+// one, and promoting an upstream that is the primary by then changes nothing.
+func (w *groupWatch) takeOver(ctx context.Context, g *pb.SiteGroupState) {
+	token, ok := w.logOrder(ctx, g.Ordered, g)
+	w.server.log.Info("leader takes over the open order of another control host", "group", w.group, "upstream", g.Ordered,
+		"holder", g.OrderHolder, "previous_token", g.Order, "token", token, "logged", ok)
+	if ok {
+		w.sendOrder(ctx, g.Ordered, token)
+	}
+}
+
+// stepDownPrimary asks a primary that still answers to step down, and waits
+// until its successor has received all commits that it acknowledged. Otherwise a
+// planned change of primary would lose the commits that were not yet replicated.
+func (w *groupWatch) stepDownPrimary(ctx context.Context, primary, successor *pb.SiteUpstream) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	before, err := w.server.options.Prober.Status(ctx, primary)
+	if err != nil || before.Role != upstream.RolePrimary {
+		w.server.log.Info("primary is not asked to step down: its status cannot be read or is not that of a primary", "group", w.group, "upstream", primary.Id, "error", err)
+		return
+	}
+	after, err := w.server.options.Prober.StepDown(ctx, primary, before.Received.Term+1)
+	if err != nil {
+		w.server.log.Warn("primary did not step down", "group", w.group, "upstream", primary.Id, "error", err)
+		return
+	}
+	for {
+		status, err := w.server.options.Prober.Status(ctx, successor)
+		if err == nil && !status.Received.Before(after.Received) {
+			w.server.log.Info("successor holds all commits of the primary that stepped down", "group", w.group, "upstream", successor.Id, "position", status.Received)
+			return
+		}
+		if !pause.For(ctx, catchUpInterval) {
+			w.server.log.Warn("successor does not hold all commits of the primary that stepped down", "group", w.group, "upstream", successor.Id,
+				"wanted", after.Received, "position", status.Received, "error", err)
+			return
+		}
+	}
+}
+
+func mostAdvanced(answers []probeResult) *probeResult {
+	var best *probeResult
+	for _, p := range answers {
+		var busy *BusyUpstream
+		if p.err != nil && !errors.As(p.err, &busy) {
+			continue
+		}
+		if best == nil || preferred(p, *best) {
+			best = &p
+		}
+	}
+	return best
+}
+
+// preferred reports whether p is a better successor than q: one that is not
+// leaving, or else one that has received more. A busy upstream reports no
+// position and counts as having received least.
+func preferred(p, q probeResult) bool {
+	if p.upstream.Leaving != q.upstream.Leaving {
+		return q.upstream.Leaving
+	}
+	return q.status.Received.Before(p.status.Received)
+}
+
+// sendOrder sends a promotion order to the platform. Its answer is not proof of
+// the promotion: checkOrder asks the upstream itself.
+func (w *groupWatch) sendOrder(ctx context.Context, id string, token uint64) {
+	w.orderSentAt = now()
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := w.server.options.Promoter.Promote(ctx, w.group, id, w.server.options.Name, token)
+	w.server.metrics.Counter("promotions_ordered_total").Inc(1)
+	w.server.log.Info("promotion order sent to the platform", "group", w.group, "upstream", id, "token", token, "error", err)
+	var refused *PromotionRefused
+	switch {
+	case errors.As(err, &refused):
+		// An order with a higher token was accepted before, or the upstream is
+		// down. This order counts as timed out, so that another is made.
+		w.orderedAt = now().Add(-orderTimeout)
+	case err != nil:
+		// The same order may be sent again at any time; see checkOrder.
+		w.orderSentAt = now().Add(unansweredRetryPause - promoteRetryInterval)
+	}
+}
+
+// checkOrder follows up an open order: it records the ordered upstream once it is
+// the primary, orders another one after orderTimeout, and until then sends the
+// order again. That is safe, because the platform carries out an order at most
+// once for its token.
+func (w *groupWatch) checkOrder(ctx context.Context, g *pb.SiteGroupState) {
+	if w.orderedAt.IsZero() {
+		w.orderedAt = now()
+	}
+	state, _, _ := w.server.options.State.Current()
+	ordered := site.Upstream(state, g.Ordered)
+	if ordered != nil {
+		status, err := w.probe(ctx, ordered)
+		if err == nil && status.Role == upstream.RolePrimary {
+			w.record(ctx, ordered, "promoted")
+			return
+		}
+	}
+	if now().Sub(w.orderedAt) >= orderTimeout || ordered == nil {
+		primary, others, g := w.upstreams()
+		w.replace(ctx, primary, others, g, "previous order was not carried out")
+		return
+	}
+	switch {
+	case g.OrderHolder != w.server.options.Name:
+		w.takeOver(ctx, g)
+	case now().Sub(w.orderSentAt) >= promoteRetryInterval:
+		w.sendOrder(ctx, g.Ordered, g.Order)
+	}
+}
