Close connections on which an answer may be outstanding after a panic

Cause, found when reading the change again: a panic during an exchange left the connection of a transaction or of a relayed stream with an answer outstanding; it was rolled back and used again, and the next caller could have got that answer. Change: such connections are closed. Requests between proxies are bounded to 4 MiB.

--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -30,6 +30,7 @@
 	busy     int                   // refuses that many statements
 	loseNext bool                  // runs the next statement and loses its answer
 	failNext int                   // runs and fails that many statements
+	panics   bool                  // panics at the next statement
 	gate     chan struct{}         // statements wait until it is closed, if set
 	ran      []string              // ids of statements that ran
 	open     int                   // connections
@@ -157,6 +158,10 @@
 
 func (c *fakeConn) forward(command Command, held upstream.Position) Code {
 	u, st := c.u, command.Statement
+	if u.panics {
+		u.panics = false
+		panic("unexpected answer")
+	}
 	switch {
 	case u.busy > 0:
 		u.busy--
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -148,6 +148,8 @@
 	key   poolKey
 	// bound is the connection that holds the open transaction, or nil.
 	bound *conn
+	// exchanging is set while an exchange on the bound connection is incomplete.
+	exchanging bool
 	// values and prepared are the session state that the other proxy has set.
 	values   map[string]string
 	prepared map[string]Command
@@ -266,7 +268,9 @@
 func (r *RelayedConn) exchange(timeout time.Duration, commands []Command) ([]Answer, error) {
 	c := r.bound
 	sentAt := now()
+	r.exchanging = true
 	answers, err := exchange(c, time.Now().Add(timeout), r.setUp(c, commands), commands...)
+	r.exchanging = false
 	if err != nil {
 		r.bound = nil
 		c.pool.discard(c, sentAt, err)
@@ -312,10 +316,16 @@
 	return setUp
 }
 
-// Close ends the virtual connection and rolls an open transaction back.
+// Close ends the virtual connection and rolls an open transaction back. After a
+// panic in Run it closes the connection to the upstream instead, on which an answer
+// may be outstanding.
 func (r *RelayedConn) Close() {
-	if r.bound != nil {
+	switch {
+	case r.bound == nil:
+	case r.exchanging:
+		r.bound.pool.discardUnclean(r.bound)
+	default:
 		rollBackAndReturn(r.bound)
-		r.bound = nil
 	}
+	r.bound = nil
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -255,6 +255,15 @@
 // Close ends the session and rolls an open transaction back.
 func (s *Session) Close() { s.endTransaction() }
 
+// Abandon ends the session after a panic in Do. It closes the connection of an open
+// transaction, on which an answer may be outstanding.
+func (s *Session) Abandon() {
+	if s.tx != nil && s.tx.conn != nil {
+		s.tx.conn.pool.discardUnclean(s.tx.conn)
+	}
+	s.tx = nil
+}
+
 // urgency returns the urgency of the caller's operation.
 func (s *Session) urgency(route *pb.SiteRoute) urgency {
 	return urgency{
--- a/relay/client.go
+++ b/relay/client.go
@@ -233,7 +233,7 @@
 	}
 	// The stream outlives the call that opens it, so it has a context of its own.
 	ctx, cancel := context.WithCancel(context.Background())
-	return &conn{client: c, peer: p, target: targetToWire(u), stream: p.service.Connect(ctx), cancel: cancel}, nil
+	return &conn{client: c, peer: p, upstreamID: u.Id, target: targetToWire(u), stream: p.service.Connect(ctx), cancel: cancel}, nil
 }
 
 // isRelay reports whether p is still the relay of an upstream.
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -21,11 +21,10 @@
 	client *Client
 	peer   *peer
 	// target is sent with the first request, and nil after that.
-	target *pb.RelayTarget
-	stream *connect.BidiStreamForClient[pb.RelayRequest, pb.RelayResponse]
-	cancel context.CancelFunc
-	turn   proxy.Turn
-	// upstreamID is set with the first request.
+	target     *pb.RelayTarget
+	stream     *connect.BidiStreamForClient[pb.RelayRequest, pb.RelayResponse]
+	cancel     context.CancelFunc
+	turn       proxy.Turn
 	upstreamID string
 	// sent counts the requests that were sent.
 	sent uint64
@@ -40,11 +39,7 @@
 // Alive implements proxy.Conn. A connection whose relay is no longer the one for
 // the upstream is given up.
 func (c *conn) Alive() bool {
-	id := c.upstreamID
-	if c.target != nil {
-		id = c.target.Upstream
-	}
-	return !c.broken.Load() && c.client.isRelay(c.peer, id)
+	return !c.broken.Load() && c.client.isRelay(c.peer, c.upstreamID)
 }
 
 // Close implements proxy.Conn.
@@ -65,10 +60,7 @@
 func (c *conn) Exchange(deadline time.Time, commands ...proxy.Command) ([]proxy.Answer, error) {
 	timeout := time.Until(deadline)
 	request := newRequest(c.turn, timeout, commands)
-	if c.target != nil {
-		c.upstreamID = c.target.Upstream
-		request.Target, c.target = c.target, nil
-	}
+	request.Target, c.target = c.target, nil
 	// The turn was for these commands; later ones of a transaction do not wait.
 	limit := timeout + c.turn.MaxWait + linkTimeout
 	c.turn = proxy.Turn{}
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,9 +50,13 @@
 
 // Handler returns the path and the HTTP handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
-	return lovageslipv1connect.NewRelayServiceHandler(s)
+	return lovageslipv1connect.NewRelayServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
+// maxRequestBytes bounds a request. A statement has up to 1 MiB, and the values of a
+// session that are sent with it may have as much again.
+const maxRequestBytes = 4 << 20
+
 // Leave tells the other proxies to use another relay. Streams stay open. It must
 // be called once, before Close.
 func (s *Server) Leave() { close(s.leaving) }
