--- a/consensus/disk_test.go
+++ b/consensus/disk_test.go
@@ -82,13 +82,7 @@
 	c := newCluster(t, "a", "b", "c")
 	a, b, wiped := c.host("a"), c.host("b"), c.host("c")
 	c.awaitLeader().propose(11)
-	wiped.stop()
-	wiped.wipe()
-	wiped.start()
-	waitFor(t, "the wiped host to apply the entries", func() bool {
-		value, _ := wiped.state.read()
-		return value == 11
-	})
+	wiped.restartWiped(11)
 
 	checkWipedHostGivesNoVote(t, c, a, b)
 
@@ -115,12 +109,19 @@
 	leader.propose(11)
 	wiped := c.others(leader)[0]
 	waitFor(t, "the leader to have nothing to send to the host", func() bool { return leader.isReplicatedTo(wiped) })
-	wiped.stop()
-	wiped.wipe()
-	wiped.start()
-	waitFor(t, "the wiped host to apply the entries", func() bool {
-		value, _ := wiped.state.read()
-		return value == 11
+	wiped.restartWiped(11)
+}
+
+// restartWiped starts the host again with an empty data folder, and waits until it has
+// applied an entry with the given value.
+func (h *host) restartWiped(value uint64) {
+	h.t.Helper()
+	h.stop()
+	h.wipe()
+	h.start()
+	waitFor(h.t, "the wiped host to apply the entries", func() bool {
+		applied, _ := h.state.read()
+		return applied == value
 	})
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -128,6 +128,11 @@
 	if !n.collectVotes(ctx, preVote) {
 		return
 	}
+	n.elect(ctx, preVote)
+}
+
+// elect runs the election that follows a pre-vote.
+func (n *Node) elect(ctx context.Context, preVote *voteRound) {
 	election, op := n.startElection(preVote)
 	if election == nil || n.awaitDisk(ctx, op) != nil {
 		return
@@ -167,8 +172,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	stale := n.term+1 != preVote.request.Term || n.role == roleLeader
-	leased := n.leaderMayHoldLeaseLocked() && !(preVote.request.AllRestarted && n.restarted)
-	if stale || leased || !n.mayCampaignLocked() {
+	if stale || n.leaseForbidsVoteLocked(preVote.request) || !n.mayCampaignLocked() {
 		return nil, nil
 	}
 	n.role = roleCandidate
@@ -279,8 +283,7 @@
 // vote it adopts a higher term and records the vote that it grants; the caller
 // waits for n.hardStateOp before it answers. A pre-vote changes nothing.
 func (n *Node) decideVoteLocked(r *pb.RequestVoteRequest) bool {
-	leased := n.leaderMayHoldLeaseLocked() && !(r.AllRestarted && n.restarted)
-	if !n.canVoteLocked() || leased || r.Term < n.term {
+	if !n.canVoteLocked() || n.leaseForbidsVoteLocked(r) || r.Term < n.term {
 		return false
 	}
 	if r.PreVote {
--- a/consensus/restart.go
+++ b/consensus/restart.go
@@ -115,11 +115,12 @@
 	n.logger.Info("all control hosts have been restarted; this host campaigns without waiting for leases to end")
 	preVote := n.preVoteRound()
 	preVote.request.AllRestarted = true
-	election, op := n.startElection(preVote)
-	if election == nil || n.awaitDisk(ctx, op) != nil {
-		return
-	}
-	if n.collectVotes(ctx, election) {
-		n.becomeLeader(election.request.Term)
-	}
+	n.elect(ctx, preVote)
+}
+
+// leaseForbidsVoteLocked reports whether a leader may hold a lease, so that this host
+// must not vote as the request asks. See the comment at the top of this file for the
+// exception.
+func (n *Node) leaseForbidsVoteLocked(r *pb.RequestVoteRequest) bool {
+	return n.leaderMayHoldLeaseLocked() && !(r.AllRestarted && n.restarted)
 }
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -27,7 +27,7 @@
 // relayQuota returns the quota of a proxy that relays commands to an upstream for
 // its data centre. Each data centre has one such proxy for each upstream.
 func relayQuota(connections, dataCentres int) connectionQuota {
-	each := (connections - reservedConnections) / max(dataCentres, 1)
+	each := shareOf(connections, dataCentres)
 	return connectionQuota{limit: max(each, scarceConnections), idleTimeout: idleTimeout}
 }
 
@@ -58,15 +58,21 @@
 // through a relay. It uses them only until it knows the relays.
 var fallbackQuota = connectionQuota{limit: scarceConnections, idleTimeout: 100 * time.Millisecond, scarce: true}
 
+// shareOf divides the connections of an upstream, less those that are kept for the
+// control hosts, among a number of users.
+func shareOf(connections, users int) int {
+	return (connections - reservedConnections) / max(users, 1)
+}
+
 // needRelays reports whether there are too few connections for each proxy to keep
 // its own.
 func needRelays(connections, proxies int) bool {
-	return (connections-reservedConnections)/max(proxies, 1) < relayThreshold
+	return shareOf(connections, proxies) < relayThreshold
 }
 
 // equalQuota divides the connections of an upstream equally among the proxies.
 func equalQuota(connections, proxies int) connectionQuota {
-	each := (connections - reservedConnections) / max(proxies, 1)
+	each := shareOf(connections, proxies)
 	if each < scarceConnections {
 		return connectionQuota{limit: scarceConnections, idleTimeout: scarceIdleTimeout, scarce: true}
 	}
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -209,7 +209,10 @@
 		return append(answers, notConnected(err, len(commands))...), nil
 	}
 	run, err := r.exchange(timeout, commands)
-	return append(answers, run...), err
+	if err != nil {
+		return nil, err
+	}
+	return append(answers, run...), nil
 }
 
 // bind takes a connection from the pool unless a transaction holds one.
@@ -256,11 +259,13 @@
 	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream || errors.As(err, &refusal) && refusal.Reason == reasonNotGranted {
 		code = CodeNoConnection
 	}
-	answers := make([]Answer, n)
-	for i := range answers {
-		answers[i] = Answer{Code: code, State: StateIdle}
-	}
-	return answers
+	return NotRunAnswers(code, n)
+}
+
+// NotRunAnswers returns the answers to n commands that did not reach an upstream, with
+// the code that says why.
+func NotRunAnswers(code Code, n int) []Answer {
+	return slices.Repeat([]Answer{{Code: code, State: StateIdle}}, n)
 }
 
 // exchange runs the commands on the bound connection and releases it unless a
@@ -306,12 +311,9 @@
 func (r *RelayedConn) setUp(c *conn, commands []Command) []Command {
 	setUp := setValues(c, r.values)
 	for _, command := range commands {
-		definition, ok := r.prepared[command.Name]
-		if command.Kind != CommandForward || command.Name == "" || !ok || c.prepared[command.Name] {
-			continue
+		if definition, ok := r.prepared[command.Name]; ok && command.Kind == CommandForward && command.Name != "" {
+			setUp = appendPrepare(setUp, c, definition)
 		}
-		setUp = append(setUp, definition)
-		c.prepared[command.Name] = true
 	}
 	return setUp
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -178,12 +178,18 @@
 	if stmt.prepared == nil {
 		return commands
 	}
-	name := stmt.prepared.upstreamName()
-	if !c.prepared[name] {
-		commands = append(commands, Command{Kind: CommandPrepare, Name: name, Value: stmt.prepared.shape, ReadOnly: stmt.prepared.readOnly})
-		c.prepared[name] = true
+	definition := Command{Kind: CommandPrepare, Name: stmt.prepared.upstreamName(), Value: stmt.prepared.shape, ReadOnly: stmt.prepared.readOnly}
+	return appendPrepare(commands, c, definition)
+}
+
+// appendPrepare appends the command that prepares a statement, unless the connection
+// has prepared it already.
+func appendPrepare(commands []Command, c *conn, definition Command) []Command {
+	if c.prepared[definition.Name] {
+		return commands
 	}
-	return commands
+	c.prepared[definition.Name] = true
+	return append(commands, definition)
 }
 
 // setValues returns the commands that make the connection's session values equal
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -117,16 +117,7 @@
 	if response.Processed >= c.sent || c.state == proxy.StateOpen || c.state == proxy.StateFailed {
 		return nil, &proxy.RelayLost{Relay: c.peer.host.Name, Err: io.ErrUnexpectedEOF}
 	}
-	return notRun(commands), nil
-}
-
-// notRun returns the answers to commands that did not reach an upstream.
-func notRun(commands int) []proxy.Answer {
-	answers := make([]proxy.Answer, commands)
-	for i := range answers {
-		answers[i] = proxy.Answer{Code: proxy.CodeNoConnection, State: proxy.StateIdle}
-	}
-	return answers
+	return proxy.NotRunAnswers(proxy.CodeNoConnection, commands), nil
 }
 
 // fail records that the relay has failed. Whether the request ran is unknown,
@@ -136,7 +127,7 @@
 	c.client.recordFailure(c.peer, err)
 	var dial *net.OpError
 	if c.sent == 1 && errors.As(err, &dial) && dial.Op == "dial" {
-		return notRun(commands), nil
+		return proxy.NotRunAnswers(proxy.CodeNoConnection, commands), nil
 	}
 	return nil, &proxy.RelayLost{Relay: c.peer.host.Name, Err: err}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -193,9 +193,6 @@
 	for _, a := range answers {
 		response.Answers = append(response.Answers, answerToWire(a))
 	}
-	if err != nil {
-		response.Answers = nil
-	}
 	c.processed++
 	return c.stream.Send(response)
 }
--- a/sitecontrol/order.go
+++ b/sitecontrol/order.go
@@ -142,7 +142,7 @@
 // sendOrder sends a promotion order to the platform. Its answer is not proof of
 // the promotion: checkOrder asks the upstream itself.
 func (w *groupWatch) sendOrder(ctx context.Context, id string, token uint64) {
-	w.orderSentAt = now()
+	w.resendAt = now().Add(promoteRetryInterval)
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := w.server.options.Promoter.Promote(ctx, w.group, id, w.server.options.Name, token)
@@ -156,7 +156,7 @@
 		w.orderedAt = now().Add(-orderTimeout)
 	case err != nil:
 		// The same order may be sent again at any time; see checkOrder.
-		w.orderSentAt = now().Add(unansweredRetryPause - promoteRetryInterval)
+		w.resendAt = now().Add(unansweredRetryPause)
 	}
 }
 
@@ -185,7 +185,7 @@
 	switch {
 	case g.OrderHolder != w.server.options.Name:
 		w.takeOver(ctx, g)
-	case now().Sub(w.orderSentAt) >= promoteRetryInterval:
+	case !now().Before(w.resendAt):
 		w.sendOrder(ctx, g.Ordered, g.Order)
 	}
 }
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -53,10 +53,10 @@
 	// lastUnreachableCount is how many proxies could not reach the primary at
 	// the last check.
 	lastUnreachableCount uint32
-	// orderedAt is when the current promotion order was logged, orderSentAt
-	// when it was last sent to the platform.
-	orderedAt   time.Time
-	orderSentAt time.Time
+	// orderedAt is when the current promotion order was logged, and resendAt
+	// when it may be sent to the platform again.
+	orderedAt time.Time
+	resendAt  time.Time
 }
 
 // runGroups lets each group take a step at each interval. A group whose step takes
