Log which upstreams leave and for how long statements have gone to them

A view's log line now names the upstreams that leave, and the line of a served statement has the time since the proxy learned that its upstream leaves. The counter proxy_statements_on_leaving_upstreams_total counts such statements.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -187,7 +187,13 @@
 	}
 	// This is the line that is logged most often; typed attributes avoid an
 	// allocation for each value.
-	s.proxy.log.LogAttrs(context.Background(), slog.LevelInfo, "statement served",
+	attributes := []slog.Attr{
 		slog.String("request", st.ID), slog.String("database", s.database), slog.String("upstream", c.pool.id()),
-		slog.Duration("took", took), slog.Any("position", a.Position), slog.Duration("since_begin", now().Sub(s.operationStart)))
+		slog.Duration("took", took), slog.Any("position", a.Position), slog.Duration("since_begin", now().Sub(s.operationStart)),
+	}
+	if leavingFor, ok := c.pool.leavingFor(); ok {
+		s.proxy.metrics.Counter("statements_on_leaving_upstreams_total").Inc(1)
+		attributes = append(attributes, slog.Duration("leaving_for", leavingFor))
+	}
+	s.proxy.log.LogAttrs(context.Background(), slog.LevelInfo, "statement served", attributes...)
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -28,6 +28,9 @@
 	// mu guards the fields below.
 	mu           sync.Mutex
 	siteUpstream *pb.SiteUpstream
+	// leavingSince is when the proxy learned that the upstream leaves; zero
+	// unless it does.
+	leavingSince time.Time
 	quota        connectionQuota
 	open         int
 	idle         []*conn // most recently used last
@@ -93,13 +96,14 @@
 }
 
 func newPool(dialer Dialer, u *pb.SiteUpstream, quota connectionQuota) *pool {
-	return &pool{
-		dialer:       dialer,
-		siteUpstream: u,
-		quota:        quota,
-		concurrency:  newConcurrencyLimit(),
-		serviceTime:  float64(initialServiceTime / time.Millisecond),
+	p := &pool{
+		dialer:      dialer,
+		quota:       quota,
+		concurrency: newConcurrencyLimit(),
+		serviceTime: float64(initialServiceTime / time.Millisecond),
 	}
+	p.setUpstreamLocked(u)
+	return p
 }
 
 // newRelayedPool returns a pool of virtual connections through relays, which limit
@@ -114,10 +118,32 @@
 func (p *pool) update(u *pb.SiteUpstream, quota connectionQuota) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.siteUpstream, p.quota = u, quota
+	p.setUpstreamLocked(u)
+	p.quota = quota
 	p.grantLocked()
 }
 
+func (p *pool) setUpstreamLocked(u *pb.SiteUpstream) {
+	p.siteUpstream = u
+	switch {
+	case !u.Leaving:
+		p.leavingSince = time.Time{}
+	case p.leavingSince.IsZero():
+		p.leavingSince = now()
+	}
+}
+
+// leavingFor returns for how long the proxy has known that the upstream leaves,
+// and false unless it does.
+func (p *pool) leavingFor() (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leavingSince.IsZero() {
+		return 0, false
+	}
+	return since(p.leavingSince), true
+}
+
 // setQuota changes the quota if it differs.
 func (p *pool) setQuota(quota connectionQuota) {
 	p.mu.Lock()
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -314,11 +314,23 @@
 		return true
 	}
 	w.log.Info("view of the site updated", "index", parts.Index, "config", parts.Config.GetVersion(),
-		"upstreams", len(parts.Upstreams), "proxies", parts.Proxies, "relays", len(parts.Relays), "from", address)
+		"upstreams", len(parts.Upstreams), "leaving", leavingIDs(parts.Upstreams), "proxies", parts.Proxies,
+		"relays", len(parts.Relays), "from", address)
 	p.SetView(site.NewView(parts))
 	return true
 }
 
+// leavingIDs returns the ids of the upstreams that have announced that they leave.
+func leavingIDs(upstreams []*pb.SiteUpstream) []string {
+	var ids []string
+	for _, u := range upstreams {
+		if u.Leaving {
+			ids = append(ids, u.Id)
+		}
+	}
+	return ids
+}
+
 // runReports reports to the watched control host that this proxy runs, and which
 // primaries it cannot reach.
 func (w *Watch) runReports(ctx context.Context, p Proxy) {
