Give an upstream no new work once its leaving period is over

Callers saw: statements reached an upstream more than 7 s after its announcement to leave had been acknowledged (DRAIN), where it could have ended under them at any time.

Cause: leaving was a preference in the choice of an upstream and nothing more. The primary of a group was used whatever it had announced, until a successor was recorded, and reads fell back to upstreams that leave if all do. If no replica was left that could take over, nothing ended that. The class of fault: a promise with a time limit that is kept only by way of something else that usually happens in time.

Ruled out: views that lacked the announcement, and statements chosen in time and sent late.

The limit is now the pool's, which all new work passes: single statements, first statements of transactions (checked again behind an answer that the upstream is busy), and commands that a relay runs for others. Transactions that have run something go on. The period begins with an acknowledgement that a proxy does not see, so it is counted from the last moment at which the proxy knows that the upstream stayed: answers to reports carry the control host's log index as of a quorum read, and the proxy counts from the begin of its own call. A view that was long under way, a control host that lags, a suspension or a cut can only shorten the period, and a proxy that has just started gives such an upstream nothing.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -126,6 +126,9 @@
 		return retry(reasonBusy, jitter(busyBackoff))
 	}
 	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.Reason == reasonUpstreamLeaving {
+		return retryLeaving()
+	}
 	if errors.As(err, &refusal) {
 		return retry(fault.Reason(refusal.Reason), jitter(busyBackoff))
 	}
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -28,7 +28,8 @@
 // needs minPosition. An upstream that has just failed is chosen only if excluded
 // leaves no other, and one that is likely to lack the position is never chosen. An
 // upstream that is leaving gets no read unless all are leaving: it may end at any
-// time, and others that refuse now will soon have room.
+// time, and others that refuse now will soon have room. It gets none at all once its
+// leaving period is over.
 func (p *Proxy) chooseForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) (candidate, bool) {
 	var best candidate
 	var bestWait time.Duration
@@ -38,7 +39,7 @@
 			continue
 		}
 		pl, ok := p.pool(u)
-		if !ok {
+		if !ok || !pl.takesNewWork() {
 			continue
 		}
 		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -29,8 +29,9 @@
 	mu           sync.Mutex
 	siteUpstream *pb.SiteUpstream
 	// leavingSince is when the proxy learned that the upstream leaves; zero
-	// unless it does.
+	// unless it does. From newWorkUntil on it gets no new work then.
 	leavingSince time.Time
+	newWorkUntil time.Time
 	quota        connectionQuota
 	open         int
 	idle         []*conn // most recently used last
@@ -96,14 +97,13 @@
 }
 
 func newPool(dialer Dialer, u *pb.SiteUpstream, quota connectionQuota) *pool {
-	p := &pool{
-		dialer:      dialer,
-		quota:       quota,
-		concurrency: newConcurrencyLimit(),
-		serviceTime: float64(initialServiceTime / time.Millisecond),
+	return &pool{
+		dialer:       dialer,
+		siteUpstream: u,
+		quota:        quota,
+		concurrency:  newConcurrencyLimit(),
+		serviceTime:  float64(initialServiceTime / time.Millisecond),
 	}
-	p.setUpstreamLocked(u)
-	return p
 }
 
 // newRelayedPool returns a pool of virtual connections through relays, which limit
@@ -115,33 +115,19 @@
 	return p
 }
 
-func (p *pool) update(u *pb.SiteUpstream, quota connectionQuota) {
+// update replaces the record of the upstream. newWorkUntil counts only if the
+// upstream leaves.
+func (p *pool) update(u *pb.SiteUpstream, newWorkUntil time.Time, quota connectionQuota) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setUpstreamLocked(u)
-	p.quota = quota
-	p.grantLocked()
-}
-
-func (p *pool) setUpstreamLocked(u *pb.SiteUpstream) {
-	p.siteUpstream = u
+	p.siteUpstream, p.newWorkUntil, p.quota = u, newWorkUntil, quota
 	switch {
 	case !u.Leaving:
 		p.leavingSince = time.Time{}
 	case p.leavingSince.IsZero():
 		p.leavingSince = now()
 	}
-}
-
-// leavingFor returns for how long the proxy has known that the upstream leaves,
-// and false unless it does.
-func (p *pool) leavingFor() (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.leavingSince.IsZero() {
-		return 0, false
-	}
-	return since(p.leavingSince), true
+	p.grantLocked()
 }
 
 // setQuota changes the quota if it differs.
@@ -242,10 +228,24 @@
 	return w
 }
 
-// acquire returns a connection that counts as in flight. It waits for one until
-// maxWait has passed or ctx ends. Its errors are *DialRefused, *fault.IO and
-// *Refusal; nothing has run after an error.
+// acquire returns a connection that counts as in flight, for new work of a caller.
+// It waits for one until maxWait has passed or ctx ends, or the upstream gets no new
+// work any more. Its errors are *DialRefused, *fault.IO and *Refusal; nothing has run
+// after an error.
 func (p *pool) acquire(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
+	remaining, limited := p.newWorkTime()
+	if limited {
+		if remaining <= 0 {
+			return nil, upstreamLeaving()
+		}
+		maxWait = min(maxWait, remaining)
+	}
+	return p.acquireForOwnCommand(ctx, u, maxWait)
+}
+
+// acquireForOwnCommand is acquire for a command of the proxy's own, which an
+// upstream that leaves may get until it ends.
+func (p *pool) acquireForOwnCommand(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
 	c, err := p.acquireConn(ctx, u, maxWait)
 	if err == nil {
 		c.takeTurn(u, maxWait)
@@ -296,8 +296,9 @@
 
 // Reasons for which a pool refuses a statement.
 const (
-	reasonUpstreamGone = "upstream_gone"
-	reasonNotGranted   = "no_turn"
+	reasonUpstreamGone    = "upstream_gone"
+	reasonUpstreamLeaving = "upstream_leaving"
+	reasonNotGranted      = "no_turn"
 )
 
 func upstreamGone() error { return &Refusal{Code: RefusedBusy, Reason: reasonUpstreamGone} }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,9 +56,13 @@
 	Positions func(ctx context.Context, groups []string) ([]GroupPosition, error)
 	// Relays leads to upstreams that accept too few connections for each
 	// proxy. If it is nil, the proxy always dials upstreams itself.
-	Relays  Relays
-	Log     *slog.Logger
-	Metrics tally.Scope
+	Relays Relays
+	// LeavingPeriod is how long an upstream may get new work after the
+	// acknowledgement of its announcement that it leaves. The default is
+	// defaultLeavingPeriod.
+	LeavingPeriod time.Duration
+	Log           *slog.Logger
+	Metrics       tally.Scope
 }
 
 // Proxy runs the statements of sessions on the upstreams of its current view of
@@ -100,6 +104,9 @@
 // New returns a proxy with an empty view, which refuses all sessions until
 // SetView.
 func New(options Options) *Proxy {
+	if options.LeavingPeriod <= 0 {
+		options.LeavingPeriod = defaultLeavingPeriod
+	}
 	p := &Proxy{
 		options:      options,
 		log:          logging.For(options.Log, "proxy"),
@@ -131,9 +138,10 @@
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
 			inView[key], relayed[key] = true, useRelays
-			p.updatePool(key, u, p.directQuota(g, u.Id, homeID, useRelays, v.Proxies))
+			newWorkUntil := p.newWorkUntil(v, u)
+			p.updatePool(key, u, newWorkUntil, p.directQuota(g, u.Id, homeID, useRelays, v.Proxies))
 			if useRelays {
-				p.updateRelayedPool(key, u)
+				p.updateRelayedPool(key, u, newWorkUntil)
 			}
 		}
 	}
@@ -156,20 +164,18 @@
 	}
 }
 
-func (p *Proxy) updatePool(key poolKey, u *pb.SiteUpstream, quota connectionQuota) {
-	if existing, ok := p.pools[key]; ok {
-		existing.update(u, quota)
-		return
+func (p *Proxy) updatePool(key poolKey, u *pb.SiteUpstream, newWorkUntil time.Time, quota connectionQuota) {
+	if _, ok := p.pools[key]; !ok {
+		p.pools[key] = newPool(p.options.Dialer, u, quota)
 	}
-	p.pools[key] = newPool(p.options.Dialer, u, quota)
+	p.pools[key].update(u, newWorkUntil, quota)
 }
 
-func (p *Proxy) updateRelayedPool(key poolKey, u *pb.SiteUpstream) {
-	if existing, ok := p.relayedPools[key]; ok {
-		existing.update(u, relayedQuota)
-		return
+func (p *Proxy) updateRelayedPool(key poolKey, u *pb.SiteUpstream, newWorkUntil time.Time) {
+	if _, ok := p.relayedPools[key]; !ok {
+		p.relayedPools[key] = newRelayedPool(p.options.Relays, u)
 	}
-	p.relayedPools[key] = newRelayedPool(p.options.Relays, u)
+	p.relayedPools[key].update(u, newWorkUntil, relayedQuota)
 }
 
 // closePoolsExcept closes and deletes the pools whose keys are not in keep.
@@ -353,7 +359,7 @@
 	if !ok {
 		return
 	}
-	c, err := pl.acquire(ctx, highestUrgency(), sampleTimeout)
+	c, err := pl.acquireForOwnCommand(ctx, highestUrgency(), sampleTimeout)
 	if err != nil {
 		p.metrics.Counter("samples_failed_total").Inc(1)
 		return
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -169,6 +169,10 @@
 	if failed != nil {
 		return *failed
 	}
+	if !c.pool.takesNewWork() {
+		rollBackAndReturn(c)
+		return retryLeaving()
+	}
 	sentAt := now()
 	answers, err := exchange(c, time.Now().Add(readTimeout(c.pool, route)), nil, stmt.command(), Command{Kind: CommandRollback})
 	if err == nil && answers[0].Code == CodeNone {
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -256,7 +256,7 @@
 	code := CodeUnreachable
 	var refused *DialRefused
 	var refusal *Refusal
-	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream || errors.As(err, &refusal) && refusal.Reason == reasonNotGranted {
+	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream || errors.As(err, &refusal) && refusal.Reason != reasonUpstreamGone {
 		code = CodeNoConnection
 	}
 	return NotRunAnswers(code, n)
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -163,6 +163,10 @@
 func (s *Session) runInTransactionOnce(stmt resolvedStatement) attempt {
 	tx := s.tx
 	c := tx.conn
+	if !tx.hasRun && !c.pool.takesNewWork() {
+		s.rollBackAtUpstream(tx)
+		return retryLeaving()
+	}
 	sentAt := now()
 	c.pool.resume(c)
 	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), s.setUp(c, stmt), stmt.command())
@@ -237,6 +241,10 @@
 func (s *Session) commitOnce(stmt resolvedStatement) attempt {
 	tx := s.tx
 	c := tx.conn
+	if !tx.hasRun && !c.pool.takesNewWork() {
+		s.endTransaction()
+		return final(aborted(reasonUpstreamLeaving))
+	}
 	sentAt := now()
 	c.pool.resume(c)
 	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), nil, stmt.command())
--- a/site/view.go
+++ b/site/view.go
@@ -27,6 +27,8 @@
 	// known.
 	Relays []*pb.RelayHost
 
+	leavingNotBefore map[string]time.Time
+
 	routes map[string]*pb.SiteRoute
 	groups map[string]*GroupView
 	sorted []*GroupView // by name
@@ -59,6 +61,10 @@
 // Groups returns all groups, sorted by name. The caller must not modify the slice.
 func (v *View) Groups() []*GroupView { return v.sorted }
 
+// LeavingNotBefore returns a time on the boot clock after which an upstream that
+// leaves has been acknowledged; the zero time if none is known.
+func (v *View) LeavingNotBefore(id string) time.Time { return v.leavingNotBefore[id] }
+
 // Upstream returns an upstream of the group, or nil.
 func (g *GroupView) Upstream(id string) *pb.SiteUpstream { return findUpstream(g.Upstreams, id) }
 
@@ -72,6 +78,10 @@
 	ControlHosts []string
 	Proxies      int
 	Relays       []*pb.RelayHost
+	// LeavingNotBefore holds, by id of an upstream that leaves, the latest time
+	// on the boot clock at which no control host can have acknowledged its
+	// announcement yet. It lacks upstreams for which no such time is known.
+	LeavingNotBefore map[string]time.Time
 }
 
 // NewView builds a view. The parts must not be modified afterwards.
@@ -83,8 +93,11 @@
 		Proxies:         max(p.Proxies, 1),
 		ControlHosts:    p.ControlHosts,
 		Relays:          p.Relays,
-		routes:          make(map[string]*pb.SiteRoute),
-		groups:          make(map[string]*GroupView),
+
+		leavingNotBefore: p.LeavingNotBefore,
+
+		routes: make(map[string]*pb.SiteRoute),
+		groups: make(map[string]*GroupView),
 	}
 	for _, r := range p.Config.GetRoutes() {
 		if other, ok := v.routes[r.Database]; !ok || len(r.Prefix) < len(other.Prefix) {
--- a/sitecontrol/relays_test.go
+++ b/sitecontrol/relays_test.go
@@ -30,11 +30,7 @@
 // that have not reported for long in the list that a proxy gets.
 func TestRelaysOfADataCentre(t *testing.T) {
 	s := New(Options{Name: "c1", State: site.NewState()})
-	ctx := context.Background()
-	report := func(r *connect.Request[pb.ReportRequest]) {
-		_, err := s.Report(ctx, r)
-		assert.NilError(t, err)
-	}
+	report := func(r *connect.Request[pb.ReportRequest]) { s.storeReport(r.Msg) }
 	report(relayReport("b", "here", 1))
 	report(relayReport("a", "here", 1))
 	report(relayReport("c", "there", 1))
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -33,12 +33,25 @@
 
 // Report implements SiteService. Proxies call it, and so do the other control
 // hosts while this host leads.
-func (s *Server) Report(_ context.Context, r *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+func (s *Server) Report(ctx context.Context, r *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+	s.storeReport(r.Msg)
+	if r.Msg.Relayed {
+		return connect.NewResponse(&pb.ReportResponse{}), nil
+	}
+	c := s.confirmState(ctx)
+	response := &pb.ReportResponse{}
+	if !c.begunAt.IsZero() {
+		response.Index = c.index
+		response.ConfirmedMs = uint32(now().Sub(c.begunAt)/time.Millisecond) + 1
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (s *Server) storeReport(r *pb.ReportRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setRelayLocked(r.Msg.Reporter, s.reports[r.Msg.Reporter].message, r.Msg)
-	s.reports[r.Msg.Reporter] = report{message: r.Msg, receivedAt: now()}
-	return connect.NewResponse(&pb.ReportResponse{}), nil
+	s.setRelayLocked(r.Reporter, s.reports[r.Reporter].message, r)
+	s.reports[r.Reporter] = report{message: r, receivedAt: now()}
 }
 
 // beginWatch records a proxy that begins to watch this host, as its first report
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -16,6 +16,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
 	"lovageslip/bootclock"
@@ -131,6 +132,11 @@
 	lastLeaderAt time.Time
 	// samples holds the newest known position of the primary of each group.
 	samples map[string]*positionSample
+	// confirmed is the newest confirmation that this host's state is complete.
+	confirmed confirmation
+
+	// confirming allows one quorum read for confirmations at a time.
+	confirming singleflight.Group
 }
 
 type report struct {
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -85,8 +85,11 @@
 	clients *sitecontrol.Clients
 
 	// mu guards the fields below.
-	mu             sync.Mutex
-	parts          site.ViewParts
+	mu    sync.Mutex
+	parts site.ViewParts
+	// currentAt is the latest time at which parts are known to have been
+	// complete, on the boot clock.
+	currentAt      time.Time
 	watchedAddress string // address of the last control host that sent an update
 	lastUpdateAt   time.Time
 	// leaving is set once the proxy shuts down and relays nothing new.
@@ -244,6 +247,7 @@
 	silence := time.AfterFunc(silenceTimeout, cancel)
 	defer silence.Stop()
 	client := w.clients.ForAddress(address)
+	calledAt := bootclock.Now()
 	message := &pb.WatchSiteRequest{Proxy: w.options.Name, DataCentre: w.options.DataCentre}
 	if _, leaving := w.reportTarget(); !leaving {
 		message.Relay = w.options.Relay
@@ -261,13 +265,15 @@
 			w.setDiscoveredHosts(u.ControlHosts)
 			continue
 		}
+		if !w.applyUpdate(address, stream.Msg(), p) {
+			return &OldState{Address: address}
+		}
 		if firstUpdate {
+			// The host sends it after a quorum read.
+			w.confirm(stream.Msg().Index, calledAt)
 			w.log.Info("proxy watches a control host", "address", address)
 			firstUpdate = false
 		}
-		if !w.applyUpdate(address, stream.Msg(), p) {
-			return &OldState{Address: address}
-		}
 	}
 	return &fault.IO{Op: "watch", Err: stream.Err()}
 }
@@ -302,24 +308,58 @@
 		w.parts.Config = u.Config
 	}
 	if u.Topology {
+		w.parts.LeavingNotBefore = leavingNotBefore(w.parts, u.Upstreams, w.currentAt)
 		w.parts.Upstreams, w.parts.Groups = u.Upstreams, u.Groups
 		w.parts.ControlHosts, w.parts.Proxies = u.ControlHosts, int(u.Proxies)
 	}
 	if u.RelaysChanged {
 		w.parts.Relays = u.Relays
 	}
-	parts := w.parts
+	parts, currentAt := w.parts, w.currentAt
 	w.mu.Unlock()
 	if !changed {
 		return true
 	}
 	w.log.Info("view of the site updated", "index", parts.Index, "config", parts.Config.GetVersion(),
 		"upstreams", len(parts.Upstreams), "leaving", leavingIDs(parts.Upstreams), "proxies", parts.Proxies,
-		"relays", len(parts.Relays), "from", address)
+		"relays", len(parts.Relays), "current", bootclock.Since(currentAt), "from", address)
 	p.SetView(site.NewView(parts))
 	return true
 }
 
+// confirm records that a control host's state at a time had no change after the one
+// of a log index.
+func (w *Watch) confirm(index uint64, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if index <= w.parts.Index && at.After(w.currentAt) {
+		w.currentAt = at
+	}
+}
+
+// leavingNotBefore returns ViewParts.LeavingNotBefore for the upstreams of an update
+// of known, which was complete at currentAt: an upstream that is new among those that
+// leave had not been acknowledged then. How late the update itself arrived is
+// unknown, because it may have waited in a buffer while this process was suspended.
+func leavingNotBefore(known site.ViewParts, updated []*pb.SiteUpstream, currentAt time.Time) map[string]time.Time {
+	previous := make(map[string]*pb.SiteUpstream, len(known.Upstreams))
+	for _, u := range known.Upstreams {
+		previous[u.Id] = u
+	}
+	times := make(map[string]time.Time)
+	for _, u := range updated {
+		before, ok := previous[u.Id]
+		switch {
+		case !u.Leaving || !ok || before.BornMs != u.BornMs:
+		case !before.Leaving:
+			times[u.Id] = currentAt
+		default:
+			times[u.Id] = known.LeavingNotBefore[u.Id]
+		}
+	}
+	return times
+}
+
 // leavingIDs returns the ids of the upstreams that have announced that they leave.
 func leavingIDs(upstreams []*pb.SiteUpstream) []string {
 	var ids []string
@@ -384,10 +424,15 @@
 	request.Untried = newComplaints(untried)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if _, err := w.clients.ForAddress(address).Report(ctx, connect.NewRequest(request)); err != nil {
+	calledAt := bootclock.Now()
+	response, err := w.clients.ForAddress(address).Report(ctx, connect.NewRequest(request))
+	if err != nil {
 		w.metrics.Counter("reports_failed_total").Inc(1)
 		return false
 	}
+	if age := response.Msg.ConfirmedMs; age != 0 {
+		w.confirm(response.Msg.Index, calledAt.Add(-time.Duration(age)*time.Millisecond))
+	}
 	return true
 }
 
--- a/sitewatch/sitewatch_test.go
+++ b/sitewatch/sitewatch_test.go
@@ -1,10 +1,15 @@
 package sitewatch
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lovageslip/bootclock"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
 )
 
 // Guards against a proxy that alternates between two control hosts that are cut
@@ -39,3 +44,43 @@
 	}
 	assert.Check(t, attempts <= 16, "%d attempts in 10 s", attempts)
 }
+
+// viewRecorder is a Proxy that keeps the newest view.
+type viewRecorder struct{ view *site.View }
+
+func (r *viewRecorder) SetView(v *site.View)                                 { r.view = v }
+func (r *viewRecorder) PrimaryReachability() (unreachable, untried []string) { return nil, nil }
+
+// Guards against a leaving period that begins when the proxy learns of it: an update
+// that was long under way, or that follows a cut, would prolong it.
+func TestLeavingPeriodBeginsAtTheLastCompleteView(t *testing.T) {
+	w, p := New(Options{Log: slog.New(slog.DiscardHandler)}), &viewRecorder{}
+	start := bootclock.Now().Add(-time.Minute)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	update := func(index uint64, upstreams ...*pb.SiteUpstream) {
+		t.Helper()
+		assert.Assert(t, w.applyUpdate("c1", &pb.SiteUpdate{Index: index, Topology: true, Upstreams: upstreams}, p))
+	}
+	staying, leaving := &pb.SiteUpstream{Id: "a", BornMs: 1}, &pb.SiteUpstream{Id: "a", BornMs: 1, Leaving: true}
+	update(5, staying)
+	w.confirm(5, at(1))
+	w.confirm(6, at(2)) // has a change that the view lacks
+	update(7, leaving)
+	assert.Equal(t, p.view.LeavingNotBefore("a"), at(1))
+
+	// Later confirmations are of a state in which it was leaving already.
+	w.confirm(7, at(9))
+	update(8, leaving)
+	assert.Equal(t, p.view.LeavingNotBefore("a"), at(1))
+
+	// A process that was never seen staying may have left long ago.
+	update(9, &pb.SiteUpstream{Id: "a", BornMs: 2, Leaving: true}, &pb.SiteUpstream{Id: "b", Leaving: true})
+	assert.Assert(t, p.view.LeavingNotBefore("a").IsZero())
+	assert.Assert(t, p.view.LeavingNotBefore("b").IsZero())
+
+	// One that stays after all begins a new period when it leaves again.
+	update(10, staying)
+	w.confirm(10, at(20))
+	update(11, leaving)
+	assert.Equal(t, p.view.LeavingNotBefore("a"), at(20))
+}
