Acknowledge a repeated announcement only once it is committed

An upstream repeats an announcement that had no answer within a second. The leader took the second copy for a delayed one and acknowledged it at once, while the first was still being committed, or after it had failed. An upstream that leaves was told so that its leave is known, and the proxies learned it with one of its next announcements, 1.2 s later on the platform or after an election: the leaving period had begun without them.

The leader now proposes the newest announcement that it has received, unless its record is as new, so that a copy is acknowledged only after a commit. Proposing one twice changes nothing. An announcement whose commit failed is therefore kept.

TestLateAnnouncementsChangeNothing asks newestAnnouncement, which replaces the function that it asked, for the same five answers.

--- a/sitecontrol/announce.go
+++ b/sitecontrol/announce.go
@@ -61,15 +61,17 @@
 	}
 	state, _, _ := s.options.State.Current()
 	record := site.Upstream(state, u.Id)
-	if !s.acceptAnnouncement(u, record) {
-		s.log.Debug("announcement ignored: a newer one of the upstream is known", "upstream", u.Id, "sequence", u.Sequence)
+	if record != nil && !site.Supersedes(u, record) {
+		s.log.Debug("announcement ignored: a newer one of the upstream is recorded", "upstream", u.Id, "sequence", u.Sequence)
 		return nil
 	}
-	if record != nil && sameUpstream(u, record) {
+	// If a newer one was received before, it may not be committed yet, or its
+	// commit may have failed. This one must not be acknowledged before that.
+	u = s.newestAnnouncement(u)
+	if u == nil || record != nil && sameUpstream(u, record) {
 		return nil
 	}
 	if err := s.recordUpstream(ctx, u); err != nil {
-		s.forgetAnnouncement(u)
 		return err
 	}
 	s.log.Info("upstream recorded", "upstream", u.Id, "group", u.Group, "address", u.Address,
@@ -82,31 +84,21 @@
 	return err
 }
 
-// acceptAnnouncement reports whether an announcement is newer than the last one
-// that this host received from the upstream and than the upstream's record in
-// the log. If so, it becomes the last one received.
-func (s *Server) acceptAnnouncement(u, record *pb.SiteUpstream) bool {
+// newestAnnouncement returns the newest announcement that this host has received
+// from the upstream of u, which may be u itself, or nil if that process was removed.
+func (s *Server) newestAnnouncement(u *pb.SiteUpstream) *pb.SiteUpstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, ok := s.announcements[u.Id]
-	if ok && !site.Supersedes(u, last.upstream) {
-		return false
-	}
-	if record != nil && !site.Supersedes(u, record) {
-		return false
+	switch {
+	case !ok || site.Supersedes(u, last.upstream):
+	case last.removed:
+		return nil
+	default:
+		return last.upstream
 	}
 	s.announcements[u.Id] = announcement{upstream: u, receivedAt: now()}
-	return true
-}
-
-// forgetAnnouncement makes a retry of an announcement that could not be
-// committed count as new.
-func (s *Server) forgetAnnouncement(u *pb.SiteUpstream) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.announcements[u.Id].upstream == u {
-		delete(s.announcements, u.Id)
-	}
+	return u
 }
 
 // sameUpstream reports whether two announcements are equal, apart from the
@@ -125,10 +117,23 @@
 	}
 	command := &pb.RemoveSiteUpstream{Id: id, BornMs: record.BornMs}
 	_, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RemoveUpstream{RemoveUpstream: command}})
-	if err == nil {
-		s.log.Info("upstream removed at its own request", "upstream", id, "group", record.Group)
+	if err != nil {
+		return err
+	}
+	s.markRemoved(id)
+	s.log.Info("upstream removed at its own request", "upstream", id, "group", record.Group)
+	return nil
+}
+
+// markRemoved makes this host ignore delayed announcements of a process that was
+// removed. The state refuses only those that name its start.
+func (s *Server) markRemoved(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if last, ok := s.announcements[id]; ok {
+		last.removed = true
+		s.announcements[id] = last
 	}
-	return err
 }
 
 // RemoveUpstream removes an upstream that has announced its own shutdown. Like
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -147,6 +147,8 @@
 type announcement struct {
 	upstream   *pb.SiteUpstream
 	receivedAt time.Time
+	// removed is set once the upstream has been removed at its own request.
+	removed bool
 }
 
 var _ lovageslipv1connect.SiteServiceHandler = (*Server)(nil)
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -1,11 +1,15 @@
 package sitecontrol
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	pb "lovageslip/gen/lovageslip/v1"
@@ -128,15 +132,56 @@
 // Guards against a delayed announcement that replaces a newer one of the same
 // process or of a later process under the same id.
 func TestLateAnnouncementsChangeNothing(t *testing.T) {
-	state := site.NewState()
-	s := New(Options{Name: "c1", State: state})
-	record := func(u *pb.SiteUpstream) bool {
-		current, _, _ := state.Current()
-		return s.acceptAnnouncement(u, site.Upstream(current, u.Id))
-	}
+	s := New(Options{Name: "c1", State: site.NewState()})
+	record := func(u *pb.SiteUpstream) bool { return s.newestAnnouncement(u) == u }
 	assert.Assert(t, record(newAnnouncement("a", true, 100, 5)))
 	assert.Assert(t, !record(newAnnouncement("a", true, 100, 4)), "lower sequence")
 	assert.Assert(t, !record(newAnnouncement("a", true, 100, 5)), "same sequence")
 	assert.Assert(t, !record(newAnnouncement("a", true, 90, 50)), "earlier process")
 	assert.Assert(t, record(newAnnouncement("a", false, 200, 1)), "later process under the same id")
 }
+
+// Guards against an announcement that is acknowledged before it is committed, because
+// the same one was received before. If the first then fails, an upstream has been told
+// that its leave is known, and proxies learn of it with a later announcement.
+func TestRepeatedAnnouncementIsAcknowledgedOnceCommitted(t *testing.T) {
+	hosts := startCluster(t, 3, newFakeUpstreams())
+	announce(t, hosts[0], newAnnouncement("a", true, 100, 1))
+	leader := slices.IndexFunc(hosts, func(h *testHost) bool { _, leads := h.node.Leadership(); return leads })
+	assert.Assert(t, leader >= 0)
+	for i, h := range hosts {
+		if i != leader {
+			h.stop()
+			h.stop = func() {}
+		}
+	}
+	leaving := newAnnouncement("a", true, 100, 2)
+	leaving.Leaving = true
+	var first sync.WaitGroup
+	first.Go(func() { _ = hosts[leader].server.AnnounceUpstream(context.Background(), leaving) })
+	server := hosts[leader].server
+	waitFor(t, "the first announcement received", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return server.announcements["a"].upstream.GetLeaving()
+	})
+	err := server.AnnounceUpstream(context.Background(), proto.Clone(leaving).(*pb.SiteUpstream))
+	state, _, _ := server.options.State.Current()
+	assert.Check(t, !site.Upstream(state, "a").Leaving)
+	assert.Check(t, err != nil, "acknowledged without a quorum")
+	first.Wait()
+}
+
+// Guards against an upstream that has left and is used again, because a delayed
+// announcement that doesn't name the start of its process makes the leader propose the
+// last one.
+func TestLateAnnouncementOfARemovedUpstreamWithoutStart(t *testing.T) {
+	hosts := startCluster(t, 1, newFakeUpstreams())
+	announce(t, hosts[0], newAnnouncement("a", true, 0, 2))
+	server, ctx := hosts[0].server, context.Background()
+	assert.NilError(t, server.RemoveUpstream(ctx, "a"))
+	assert.NilError(t, server.AnnounceUpstream(ctx, newAnnouncement("a", true, 0, 2)))
+	assert.NilError(t, server.AnnounceUpstream(ctx, newAnnouncement("a", true, 0, 1)))
+	state, _, _ := server.options.State.Current()
+	assert.Assert(t, site.Upstream(state, "a") == nil)
+}
