Refuse at once while a group has no upstream that takes work

The retries cover a change of primary, which needs an upstream that takes over. If none is announced, or the leaving periods of all are over, none can: one that is started must announce itself and be promoted first. Such statements are now refused at once, as not run, and told to come back in about the time that this takes.

Groups with any other upstream wait as before, also if it does not answer: it may return.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -81,8 +81,8 @@
 }
 
 // retryUntilFinal makes attempts until one is final, maxRetryDuration would be
-// exceeded or ctx ends. In the last two cases it refuses the statement as not
-// run. That is true because no attempt that is retried has taken effect.
+// exceeded, no upstream is left that could serve the next one, or ctx ends. In the
+// last three cases it refuses the statement as not run. That is true because no attempt that is retried has taken effect.
 func (s *Session) retryUntilFinal(ctx context.Context, st *Statement, try func() attempt) Reply {
 	deadline := now().Add(maxRetryDuration)
 	for n := 0; ; n++ {
@@ -93,6 +93,9 @@
 		metrics.CountRetry(s.proxy.metrics, s.database, a.reason)
 		s.proxy.log.Info("proxy retries a statement", "request", st.ID, "database", s.database, "attempt", n+1,
 			"reason", a.reason, "upstream", a.upstream, "after", a.minPosition, "wait", a.wait, "view", s.proxy.View().Index)
+		if s.proxy.noUpstreamTakesWork(s.database) {
+			return s.refuse(a.reason, newUpstreamMean)
+		}
 		if now().Add(a.wait).After(deadline) {
 			return s.refuseWithRetry(a.reason)
 		}
@@ -107,8 +110,16 @@
 // refused during one don't all return at once.
 const retryAfterMean = 400 * time.Millisecond
 
-func (s *Session) refuseWithRetry(reason fault.Reason) Reply {
-	return Reply{Refusal: &Refusal{Code: RefusedBusy, Reason: string(reason), RetryAfter: jitter(retryAfterMean)}}
+// newUpstreamMean is the mean time after which a caller should try again whose group
+// has no upstream: one that is started then must announce itself and be promoted.
+const newUpstreamMean = 1500 * time.Millisecond
+
+func (s *Session) refuseWithRetry(reason fault.Reason) Reply { return s.refuse(reason, retryAfterMean) }
+
+// refuse refuses a statement as not run. The caller should try again after a random
+// time with the given mean.
+func (s *Session) refuse(reason fault.Reason, retryAfter time.Duration) Reply {
+	return Reply{Refusal: &Refusal{Code: RefusedBusy, Reason: string(reason), RetryAfter: jitter(retryAfter)}}
 }
 
 func outcomeUnknown(reason fault.Reason) Reply {
--- a/proxy/leaving.go
+++ b/proxy/leaving.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	pb "lovageslip/gen/lovageslip/v1"
@@ -43,6 +44,24 @@
 	return !limited || remaining > 0
 }
 
+// noUpstreamTakesWork reports whether a database's group has no upstream that may get
+// new work now or later: none is announced, or the leaving periods of all are over.
+func (p *Proxy) noUpstreamTakesWork(database string) bool {
+	v := p.View()
+	route, ok := v.Route(database)
+	if !ok {
+		return false
+	}
+	g, ok := v.Group(route.Group)
+	if !ok {
+		return false
+	}
+	return !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool {
+		pl, ok := p.pool(u)
+		return ok && pl.takesNewWork()
+	})
+}
+
 // leavingFor returns for how long the proxy has known that the upstream leaves,
 // and false unless it does.
 func (p *pool) leavingFor() (time.Duration, bool) {
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -111,3 +111,25 @@
 	assert.Equal(t, answers[0].Code, CodeNoConnection)
 	assert.Equal(t, f.ranAnywhere(), 0)
 }
+
+// Guards against statements that wait for seconds and are then refused, although their
+// group has no upstream that could serve them.
+func TestRefusedAtOnceWithoutAnyUpstream(t *testing.T) {
+	const atOnce = 500 * time.Millisecond // the target of the routes
+	for name, send := range newWork {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.leave(testLeavingPeriod)
+			begun := time.Now()
+			reply := send(f)
+			assert.Check(t, reply.Refusal != nil && reply.Refusal.RetryAfter > 0, "%v", reply.Refusal)
+			assert.Check(t, time.Since(begun) < atOnce, "refused after %v", time.Since(begun))
+			f.parts.Upstreams = nil
+			f.proxy.SetView(site.NewView(f.parts))
+			begun = time.Now()
+			assert.Check(t, send(f).Refusal != nil)
+			assert.Check(t, time.Since(begun) < atOnce, "refused after %v", time.Since(begun))
+		})
+	}
+}
