Keep a confirmation of the view until the view has reached it

A proxy counts the leaving period from the last quorum read of its control host that its view includes. While the state changed several times a second, the answer to a report mostly named a later index than the view had, and was dropped: the soak's proxies, with a configuration each 200 ms, had last confirmed their view up to 5.5 s ago, so that an upstream that left got no work at once. The confirmation is now kept and counts as soon as the view has reached its index, for upstreams that leave after that.

TestLeavingPeriodBeginsAtTheLastCompleteView checks both orders.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -88,8 +88,10 @@
 	mu    sync.Mutex
 	parts site.ViewParts
 	// currentAt is the latest time at which parts are known to have been
-	// complete, on the boot clock.
+	// complete, on the boot clock. pending is a later confirmation of a state
+	// that parts have not reached yet.
 	currentAt      time.Time
+	pending        confirmation
 	watchedAddress string // address of the last control host that sent an update
 	lastUpdateAt   time.Time
 	// leaving is set once the proxy shuts down and relays nothing new.
@@ -270,7 +272,7 @@
 		}
 		if firstUpdate {
 			// The host sends it after a quorum read.
-			w.confirm(stream.Msg().Index, calledAt)
+			w.confirm(confirmation{index: stream.Msg().Index, at: calledAt})
 			w.log.Info("proxy watches a control host", "address", address)
 			firstUpdate = false
 		}
@@ -315,6 +317,7 @@
 	if u.RelaysChanged {
 		w.parts.Relays = u.Relays
 	}
+	w.applyPendingLocked()
 	parts, currentAt := w.parts, w.currentAt
 	w.mu.Unlock()
 	if !changed {
@@ -327,13 +330,24 @@
 	return true
 }
 
-// confirm records that a control host's state at a time had no change after the one
+// confirmation says that a control host's state at a time had no change after the one
 // of a log index.
-func (w *Watch) confirm(index uint64, at time.Time) {
+type confirmation struct {
+	index uint64
+	at    time.Time
+}
+
+// confirm records a confirmation, once the view has reached its index.
+func (w *Watch) confirm(c confirmation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if index <= w.parts.Index && at.After(w.currentAt) {
-		w.currentAt = at
+	w.pending = c
+	w.applyPendingLocked()
+}
+
+func (w *Watch) applyPendingLocked() {
+	if w.pending.index <= w.parts.Index && w.pending.at.After(w.currentAt) {
+		w.currentAt = w.pending.at
 	}
 }
 
@@ -431,7 +445,7 @@
 		return false
 	}
 	if age := response.Msg.ConfirmedMs; age != 0 {
-		w.confirm(response.Msg.Index, calledAt.Add(-time.Duration(age)*time.Millisecond))
+		w.confirm(confirmation{index: response.Msg.Index, at: calledAt.Add(-time.Duration(age) * time.Millisecond)})
 	}
 	return true
 }
