Let open transactions wait for a busy upstream whose leaving period is over

The check now asks whether the next statement is new work, in one place for all three uses. Found by reading the change; TestOpenTransactionsOutlastTheLeavingPeriod has the case and was red before. The view's log line says -1 before the first confirmation.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -82,7 +82,8 @@
 
 // retryUntilFinal makes attempts until one is final, maxRetryDuration would be
 // exceeded, no upstream is left that could serve the next one, or ctx ends. In the
-// last three cases it refuses the statement as not run. That is true because no attempt that is retried has taken effect.
+// last three cases it refuses the statement as not run. That is true because no
+// attempt that is retried has taken effect.
 func (s *Session) retryUntilFinal(ctx context.Context, st *Statement, try func() attempt) Reply {
 	deadline := now().Add(maxRetryDuration)
 	for n := 0; ; n++ {
@@ -93,7 +94,7 @@
 		metrics.CountRetry(s.proxy.metrics, s.database, a.reason)
 		s.proxy.log.Info("proxy retries a statement", "request", st.ID, "database", s.database, "attempt", n+1,
 			"reason", a.reason, "upstream", a.upstream, "after", a.minPosition, "wait", a.wait, "view", s.proxy.View().Index)
-		if s.proxy.noUpstreamTakesWork(s.database) {
+		if s.isNewWork() && s.proxy.noUpstreamTakesWork(s.database) {
 			return s.refuse(a.reason, newUpstreamMean)
 		}
 		if now().Add(a.wait).After(deadline) {
--- a/proxy/leaving.go
+++ b/proxy/leaving.go
@@ -44,6 +44,10 @@
 	return !limited || remaining > 0
 }
 
+// isNewWork reports whether the session's next statement is new work. Transactions that
+// have run a statement go on at an upstream that leaves.
+func (s *Session) isNewWork() bool { return s.tx == nil || !s.tx.hasRun }
+
 // noUpstreamTakesWork reports whether a database's group has no upstream that may get
 // new work now or later: none is announced, or the leaving periods of all are over.
 func (p *Proxy) noUpstreamTakesWork(database string) bool {
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -95,6 +95,7 @@
 	})
 	reply := begun.Do(ctx, write("2"))
 	assert.Assert(t, reply.Refusal != nil && reply.Refusal.Code != RefusedUnknown, "%v", reply.Refusal)
+	f.group.update("p1", func(u *fakeUpstream) { u.busy = 1 })
 	assert.Assert(t, running.Do(ctx, write("3")).Refusal == nil)
 	assert.Assert(t, running.Do(ctx, &Statement{ID: "4", Kind: KindCommit}).Refusal == nil)
 	assert.DeepEqual(t, f.group.ran("p1"), []string{"1", "3", "4"})
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -163,7 +163,7 @@
 func (s *Session) runInTransactionOnce(stmt resolvedStatement) attempt {
 	tx := s.tx
 	c := tx.conn
-	if !tx.hasRun && !c.pool.takesNewWork() {
+	if s.isNewWork() && !c.pool.takesNewWork() {
 		s.rollBackAtUpstream(tx)
 		return retryLeaving()
 	}
@@ -241,7 +241,7 @@
 func (s *Session) commitOnce(stmt resolvedStatement) attempt {
 	tx := s.tx
 	c := tx.conn
-	if !tx.hasRun && !c.pool.takesNewWork() {
+	if s.isNewWork() && !c.pool.takesNewWork() {
 		s.endTransaction()
 		return final(aborted(reasonUpstreamLeaving))
 	}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -325,7 +325,7 @@
 	}
 	w.log.Info("view of the site updated", "index", parts.Index, "config", parts.Config.GetVersion(),
 		"upstreams", len(parts.Upstreams), "leaving", leavingIDs(parts.Upstreams), "proxies", parts.Proxies,
-		"relays", len(parts.Relays), "current", bootclock.Since(currentAt), "from", address)
+		"relays", len(parts.Relays), "current", age(currentAt), "from", address)
 	p.SetView(site.NewView(parts))
 	return true
 }
@@ -374,6 +374,14 @@
 	return times
 }
 
+// age returns the time since t on the boot clock, or -1 for the zero time.
+func age(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return bootclock.Since(t)
+}
+
 // leavingIDs returns the ids of the upstreams that have announced that they leave.
 func leavingIDs(upstreams []*pb.SiteUpstream) []string {
 	var ids []string
