--- /dev/null
+++ b/sitewatch/leaving.go
@@ -0,0 +1,72 @@
+package sitewatch
+
+import (
+	"time"
+
+	"lovageslip/bootclock"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
+)
+
+// confirmation says that a control host's state at a time had no change after the one
+// of a log index.
+type confirmation struct {
+	index uint64
+	at    time.Time
+}
+
+// confirm records a confirmation, once the view has reached its index.
+func (w *Watch) confirm(c confirmation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pending = c
+	w.applyPendingLocked()
+}
+
+func (w *Watch) applyPendingLocked() {
+	if w.pending.index <= w.parts.Index && w.pending.at.After(w.currentAt) {
+		w.currentAt = w.pending.at
+	}
+}
+
+// leavingNotBefore returns ViewParts.LeavingNotBefore for the upstreams of an update
+// of known, which was complete at currentAt: an upstream that is new among those that
+// leave had not been acknowledged then. How late the update itself arrived is
+// unknown, because it may have waited in a buffer while this process was suspended.
+func leavingNotBefore(known site.ViewParts, updated []*pb.SiteUpstream, currentAt time.Time) map[string]time.Time {
+	previous := make(map[string]*pb.SiteUpstream, len(known.Upstreams))
+	for _, u := range known.Upstreams {
+		previous[u.Id] = u
+	}
+	times := make(map[string]time.Time)
+	for _, u := range updated {
+		before, ok := previous[u.Id]
+		switch {
+		case !u.Leaving || !ok || before.BornMs != u.BornMs:
+		case !before.Leaving:
+			times[u.Id] = currentAt
+		default:
+			times[u.Id] = known.LeavingNotBefore[u.Id]
+		}
+	}
+	return times
+}
+
+// age returns the time since t on the boot clock, or -1 for the zero time.
+func age(t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return bootclock.Since(t)
+}
+
+// leavingIDs returns the ids of the upstreams that have announced that they leave.
+func leavingIDs(upstreams []*pb.SiteUpstream) []string {
+	var ids []string
+	for _, u := range upstreams {
+		if u.Leaving {
+			ids = append(ids, u.Id)
+		}
+	}
+	return ids
+}
