--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -95,7 +95,7 @@
 		s.proxy.log.Info("proxy retries a statement", "request", st.ID, "database", s.database, "attempt", n+1,
 			"reason", a.reason, "upstream", a.upstream, "after", a.minPosition, "wait", a.wait, "view", s.proxy.View().Index)
 		if s.isNewWork() && s.proxy.noUpstreamTakesWork(s.database) {
-			return s.refuse(a.reason, newUpstreamMean)
+			return s.refuseNotRun(a.reason, newUpstreamMean)
 		}
 		if now().Add(a.wait).After(deadline) {
 			return s.refuseWithRetry(a.reason)
@@ -115,11 +115,11 @@
 // has no upstream: one that is started then must announce itself and be promoted.
 const newUpstreamMean = 1500 * time.Millisecond
 
-func (s *Session) refuseWithRetry(reason fault.Reason) Reply { return s.refuse(reason, retryAfterMean) }
+func (s *Session) refuseWithRetry(reason fault.Reason) Reply { return s.refuseNotRun(reason, retryAfterMean) }
 
-// refuse refuses a statement as not run. The caller should try again after a random
+// refuseNotRun refuses a statement as not run. The caller should try again after a random
 // time with the given mean.
-func (s *Session) refuse(reason fault.Reason, retryAfter time.Duration) Reply {
+func (s *Session) refuseNotRun(reason fault.Reason, retryAfter time.Duration) Reply {
 	return Reply{Refusal: &Refusal{Code: RefusedBusy, Reason: string(reason), RetryAfter: jitter(retryAfter)}}
 }
 
@@ -138,10 +138,10 @@
 		return retry(reasonBusy, jitter(busyBackoff))
 	}
 	var refusal *Refusal
-	if errors.As(err, &refusal) && refusal.Reason == reasonUpstreamLeaving {
-		return retryLeaving()
-	}
 	if errors.As(err, &refusal) {
+		if refusal.Reason == reasonUpstreamLeaving {
+			return retryLeaving()
+		}
 		return retry(fault.Reason(refusal.Reason), jitter(busyBackoff))
 	}
 	return retry(fault.ReasonUpstreamUnavailable, jitter(busyBackoff))
