--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -115,7 +115,9 @@
 // has no upstream: one that is started then must announce itself and be promoted.
 const newUpstreamMean = 1500 * time.Millisecond
 
-func (s *Session) refuseWithRetry(reason fault.Reason) Reply { return s.refuseNotRun(reason, retryAfterMean) }
+func (s *Session) refuseWithRetry(reason fault.Reason) Reply {
+	return s.refuseNotRun(reason, retryAfterMean)
+}
 
 // refuseNotRun refuses a statement as not run. The caller should try again after a random
 // time with the given mean.
