Turn from a control host that answers but cannot confirm the view

What callers saw: nothing so far. A proxy stays with the host that it watches while that host sends updates and knows a leader. Nothing asked whether those updates hold the newest changes, so the news that an upstream leaves could come later than its leaving period.

Evidence: the new test, in which the watched host sends updates for 7 s and confirms none of its reports, failed before (the view without the leave was kept for the whole period) and passes now, after 4.21 s. The leader sends entries again after a timeout, and the follower applies them before its disk holds them. So this is a second line of defence and no mend of something seen.

Ruled out: leaving when reports are not answered. Hundreds of proxies would leave a control host that is only busy, and add to the load of the others.

Why it works: the answer to a report names how long ago the host's state was confirmed by a quorum read. If a report is answered and the view still was not confirmed for 3.5 s, the proxy turns to another host, whose first update follows a quorum read. Until then it reports every 0.5 s, not every 2 s. With the way to another host that is under 7 s.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -90,8 +90,11 @@
 	// currentAt is the latest time at which parts are known to have been
 	// complete, on the boot clock. pending is a later confirmation of a state
 	// that parts have not reached yet.
-	currentAt      time.Time
-	pending        confirmation
+	currentAt time.Time
+	pending   confirmation
+	// answeredReportAt is when the newest report that was answered was sent.
+	answeredReportAt time.Time
+
 	watchedAddress string // address of the last control host that sent an update
 	lastUpdateAt   time.Time
 	// leaving is set once the proxy shuts down and relays nothing new.
@@ -242,7 +245,8 @@
 }
 
 // watch applies the updates of one control host until the stream fails, an update
-// is older than the view, or none arrives within silenceTimeout.
+// is older than the view, none arrives within silenceTimeout, or the host cannot
+// confirm the view for maxViewAge.
 func (w *Watch) watch(ctx context.Context, address string, p Proxy) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -276,6 +280,9 @@
 			w.log.Info("proxy watches a control host", "address", address)
 			firstUpdate = false
 		}
+		if age := w.viewAge(); age > maxViewAge {
+			return &NotConfirmed{Address: address, For: age}
+		}
 	}
 	return &fault.IO{Op: "watch", Err: stream.Err()}
 }
@@ -339,8 +346,11 @@
 	for pause.For(ctx, reportCheckInterval) {
 		unreachable, untried := p.PrimaryReachability()
 		interval := sitecontrol.ReportInterval
-		if len(unreachable) > 0 {
+		switch {
+		case len(unreachable) > 0:
 			interval = sitecontrol.UnreachableReportInterval
+		case w.viewAge() > sitecontrol.ReportInterval:
+			interval = unconfirmedReportInterval
 		}
 		address, leaving := w.reportTarget()
 		if slices.Equal(unreachable, last) && bootclock.Since(sentAt) < interval && address == sentTo {
@@ -389,6 +399,7 @@
 		w.metrics.Counter("reports_failed_total").Inc(1)
 		return false
 	}
+	w.recordAnswer(calledAt)
 	if age := response.Msg.ConfirmedMs; age != 0 {
 		w.confirm(confirmation{index: response.Msg.Index, at: calledAt.Add(-time.Duration(age) * time.Millisecond)})
 	}
