Remove upstreams whose announcement is not committed yet

What callers would see: statements sent to an upstream that has ended. Its removal was acknowledged and did nothing, because the leader knew no record of it; its announcement, still on the way into the log, was recorded afterwards.

Evidence: TestRemovalOvertakesAnAnnouncementThatIsNotCommitted failed before in both cases, for the first process of an upstream and for one that started again under its id.

Why it works: the leader removes the newest process that it knows, also from an announcement that isn't committed yet, and the state remembers the removal of a process that has no record, so that a later record of it is refused. A removal still changes nothing if a later process has the record.

While control hosts of both versions run, an older one keeps no memory of such a removal. It could then hold the upstream that a newer host doesn't, as before.

--- a/site/state.go
+++ b/site/state.go
@@ -147,14 +147,14 @@
 	return true
 }
 
+// removeUpstream removes a process of an upstream and those before it. The process may
+// have no record, if its announcement comes later in the log than its removal.
 func removeUpstream(state *pb.SiteState, c *pb.RemoveSiteUpstream) bool {
-	before := len(state.Upstreams)
-	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(r *pb.SiteUpstream) bool {
-		return r.Id == c.Id && r.BornMs == c.BornMs
-	})
-	if len(state.Upstreams) == before {
+	removed := &pb.SiteUpstream{Id: c.Id, BornMs: c.BornMs}
+	if r := Upstream(state, c.Id); r != nil && r.BornMs > c.BornMs || r == nil && (c.BornMs == 0 || wasRemoved(state, removed)) {
 		return false
 	}
+	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == c.Id })
 	// Earlier states share the slice, so it is copied.
 	latest := state.Removed[max(0, len(state.Removed)+1-maxRemoved):]
 	state.Removed = append(slices.Clone(latest), &pb.RemovedUpstream{Id: c.Id, BornMs: c.BornMs})
--- a/sitecontrol/announce.go
+++ b/sitecontrol/announce.go
@@ -110,21 +110,34 @@
 }
 
 func (s *Server) handleRemoval(ctx context.Context, id string) error {
-	state, _, _ := s.options.State.Current()
-	record := site.Upstream(state, id)
-	if record == nil {
+	process := s.newestProcess(id)
+	if process == nil {
 		return nil
 	}
-	command := &pb.RemoveSiteUpstream{Id: id, BornMs: record.BornMs}
+	command := &pb.RemoveSiteUpstream{Id: id, BornMs: process.BornMs}
 	_, err := s.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RemoveUpstream{RemoveUpstream: command}})
 	if err != nil {
 		return err
 	}
 	s.markRemoved(id)
-	s.log.Info("upstream removed at its own request", "upstream", id, "group", record.Group)
+	s.log.Info("upstream removed at its own request", "upstream", id, "group", process.Group)
 	return nil
 }
 
+// newestProcess returns the newest process of an upstream that has not been removed,
+// or nil. It may be known only from an announcement that is not committed yet.
+func (s *Server) newestProcess(id string) *pb.SiteUpstream {
+	state, _, _ := s.options.State.Current()
+	record := site.Upstream(state, id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.announcements[id]
+	if !ok || last.removed || record != nil && !site.Supersedes(last.upstream, record) {
+		return record
+	}
+	return last.upstream
+}
+
 // markRemoved makes this host ignore delayed announcements of a process that was
 // removed. The state refuses only those that name its start.
 func (s *Server) markRemoved(id string) {
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -185,3 +185,19 @@
 	state, _, _ := server.options.State.Current()
 	assert.Assert(t, site.Upstream(state, "a") == nil)
 }
+
+// Guards against an upstream that has left and is used again, because its announcement
+// is committed after its removal was acknowledged.
+func TestRemovalOvertakesAnAnnouncementThatIsNotCommitted(t *testing.T) {
+	hosts := startCluster(t, 1, newFakeUpstreams())
+	announce(t, hosts[0], newAnnouncement("restarted", false, 50, 1))
+	server, ctx := hosts[0].server, context.Background()
+	for _, id := range []string{"first", "restarted"} {
+		delayed := newAnnouncement(id, false, 100, 1)
+		assert.Assert(t, server.newestAnnouncement(delayed) == delayed)
+		assert.NilError(t, server.RemoveUpstream(ctx, id))
+		assert.NilError(t, server.recordUpstream(ctx, delayed))
+		state, _, _ := server.options.State.Current()
+		assert.Check(t, site.Upstream(state, id) == nil, "%s", id)
+	}
+}
