Split a dense condition of removals; drop a special case of the zero time

No change of behaviour. removeUpstream states each case that changes nothing by itself. newWorkUntil needs no case of its own for an upstream whose leave cannot be dated: a limit counted from the zero time is long past.

--- a/proxy/leaving.go
+++ b/proxy/leaving.go
@@ -19,14 +19,10 @@
 
 // newWorkUntil returns when an upstream that leaves gets its last new work. The
 // leaving period begins with an acknowledgement that this proxy doesn't see, so it is
-// counted from the last time before it that the view knows. Without one the period
-// may be over.
+// counted from the last time before it that the view knows. If that is the zero time,
+// the period counts as over.
 func (p *Proxy) newWorkUntil(v *site.View, u *pb.SiteUpstream) time.Time {
-	notBefore := v.LeavingNotBefore(u.Id)
-	if notBefore.IsZero() {
-		return time.Time{}
-	}
-	return notBefore.Add(p.options.LeavingPeriod - leavingMargin)
+	return v.LeavingNotBefore(u.Id).Add(p.options.LeavingPeriod - leavingMargin)
 }
 
 // newWorkTime returns for how long the upstream gets new work, and false if that is
--- a/site/state.go
+++ b/site/state.go
@@ -150,8 +150,13 @@
 // removeUpstream removes a process of an upstream and those before it. The process may
 // have no record, if its announcement comes later in the log than its removal.
 func removeUpstream(state *pb.SiteState, c *pb.RemoveSiteUpstream) bool {
-	removed := &pb.SiteUpstream{Id: c.Id, BornMs: c.BornMs}
-	if r := Upstream(state, c.Id); r != nil && r.BornMs > c.BornMs || r == nil && (c.BornMs == 0 || wasRemoved(state, removed)) {
+	record := Upstream(state, c.Id)
+	switch {
+	case record != nil && record.BornMs > c.BornMs:
+		return false // a later process
+	case record == nil && c.BornMs == 0:
+		return false // wasRemoved could not recognize the process
+	case record == nil && wasRemoved(state, &pb.SiteUpstream{Id: c.Id, BornMs: c.BornMs}):
 		return false
 	}
 	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == c.Id })
