--- a/gen/lovageslip/v1/lovageslipv1connect/relay.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/relay.connect.go
@@ -37,6 +37,8 @@
 	RelayServiceConnectProcedure = "/lovageslip.v1.RelayService/Connect"
 	// RelayServiceCheckProcedure is the fully-qualified name of the RelayService's Check RPC.
 	RelayServiceCheckProcedure = "/lovageslip.v1.RelayService/Check"
+	// RelayServiceAdmitProcedure is the fully-qualified name of the RelayService's Admit RPC.
+	RelayServiceAdmitProcedure = "/lovageslip.v1.RelayService/Admit"
 )
 
 // RelayServiceClient is a client for the lovageslip.v1.RelayService service.
@@ -46,6 +48,9 @@
 	Connect(context.Context) *connect.BidiStreamForClient[v1.RelayRequest, v1.RelayResponse]
 	// Check tells whether the relay can reach an upstream.
 	Check(context.Context, *connect.Request[v1.RelayCheckRequest]) (*connect.Response[v1.RelayCheckResponse], error)
+	// Admit asks the proxy that counts the operations of a team in this data centre
+	// whether some may run now.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the lovageslip.v1.RelayService service. By default,
@@ -71,6 +76,12 @@
 			connect.WithSchema(relayServiceMethods.ByName("Check")),
 			connect.WithClientOptions(opts...),
 		),
+		admit: connect.NewClient[v1.AdmitRequest, v1.AdmitResponse](
+			httpClient,
+			baseURL+RelayServiceAdmitProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Admit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -78,6 +89,7 @@
 type relayServiceClient struct {
 	connect *connect.Client[v1.RelayRequest, v1.RelayResponse]
 	check   *connect.Client[v1.RelayCheckRequest, v1.RelayCheckResponse]
+	admit   *connect.Client[v1.AdmitRequest, v1.AdmitResponse]
 }
 
 // Connect calls lovageslip.v1.RelayService.Connect.
@@ -90,6 +102,11 @@
 	return c.check.CallUnary(ctx, req)
 }
 
+// Admit calls lovageslip.v1.RelayService.Admit.
+func (c *relayServiceClient) Admit(ctx context.Context, req *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return c.admit.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the lovageslip.v1.RelayService service.
 type RelayServiceHandler interface {
 	// Connect is one virtual connection to an upstream. Each request gets one
@@ -97,6 +114,9 @@
 	Connect(context.Context, *connect.BidiStream[v1.RelayRequest, v1.RelayResponse]) error
 	// Check tells whether the relay can reach an upstream.
 	Check(context.Context, *connect.Request[v1.RelayCheckRequest]) (*connect.Response[v1.RelayCheckResponse], error)
+	// Admit asks the proxy that counts the operations of a team in this data centre
+	// whether some may run now.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -118,12 +138,20 @@
 		connect.WithSchema(relayServiceMethods.ByName("Check")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceAdmitHandler := connect.NewUnaryHandler(
+		RelayServiceAdmitProcedure,
+		svc.Admit,
+		connect.WithSchema(relayServiceMethods.ByName("Admit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovageslip.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceConnectProcedure:
 			relayServiceConnectHandler.ServeHTTP(w, r)
 		case RelayServiceCheckProcedure:
 			relayServiceCheckHandler.ServeHTTP(w, r)
+		case RelayServiceAdmitProcedure:
+			relayServiceAdmitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -140,3 +168,7 @@
 func (UnimplementedRelayServiceHandler) Check(context.Context, *connect.Request[v1.RelayCheckRequest]) (*connect.Response[v1.RelayCheckResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.RelayService.Check is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.RelayService.Admit is not implemented"))
+}
--- a/proxy/consistency_test.go
+++ b/proxy/consistency_test.go
@@ -213,7 +213,7 @@
 	f.parts.Config.Routes = f.parts.Config.Routes[1:]
 	f.proxy.SetView(site.NewView(f.parts))
 	assert.Equal(t, do(t, s, read("r")).Refusal.Code, RefusedNoDatabase)
-	_, refusal := f.proxy.Open("latest")
+	_, refusal := f.proxy.Open("latest", "")
 	assert.Assert(t, refusal != nil)
 }
 
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -13,7 +13,7 @@
 	p.mu.Lock()
 	u := p.siteUpstream
 	p.mu.Unlock()
-	dialed, err := p.dialer.Dial(ctx, u)
+	dialed, err := p.dialer.Dial(ctx, u, "")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -50,7 +50,7 @@
 	prepared    map[string]string
 }
 
-func (g *fakeGroup) Dial(_ context.Context, record *pb.SiteUpstream) (Conn, error) {
+func (g *fakeGroup) Dial(_ context.Context, record *pb.SiteUpstream, _ string) (Conn, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u := g.upstreams[record.Id]
@@ -288,7 +288,7 @@
 
 func (f *fixture) open(database string) *Session {
 	f.t.Helper()
-	s, refusal := f.proxy.Open(database)
+	s, refusal := f.proxy.Open(database, "")
 	if refusal != nil {
 		f.t.Fatalf("session on %s refused: %v", database, refusal)
 	}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -250,7 +250,7 @@
 		return
 	}
 	begunAt := now()
-	opened, err := p.dialer.Dial(ctx, u)
+	opened, err := p.dialer.Dial(ctx, u, "")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.checking = false
--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -338,7 +338,7 @@
 // returns the time after which the caller tries again.
 func (m *model) attempt(o *operation, host int) (served bool, wait time.Duration) {
 	h := m.proxies[host]
-	session, refusal := h.proxy.Open(o.class.name)
+	session, refusal := h.proxy.Open(o.class.name, "")
 	if refusal != nil {
 		return false, retryAfterMean
 	}
@@ -389,7 +389,7 @@
 const modelFailed = "failed"
 
 // Dial implements Dialer. A new connection occupies a slot for modelOpenTime.
-func (m *model) Dial(ctx context.Context, record *pb.SiteUpstream) (Conn, error) {
+func (m *model) Dial(ctx context.Context, record *pb.SiteUpstream, _ string) (Conn, error) {
 	u := m.upstreams[int(record.Id[1]-'0')]
 	m.mu.Lock()
 	unreachable := u.unreachable
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -23,7 +23,7 @@
 	// Dial opens a virtual connection. The upstream's own errors follow with
 	// the first Exchange, as CodeNoConnection and CodeUnreachable. The error
 	// of a connection whose relay fails is *RelayLost.
-	Dial(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
+	Dial(ctx context.Context, u *pb.SiteUpstream, team string) (Conn, error)
 	// Check asks the relay whether it reaches an upstream. It fails if the
 	// relay itself does not answer, which is then not used for a while. If the
 	// upstream is unreachable, failedFor tells for how long.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -39,9 +39,9 @@
 	shape    string
 }
 
-// Open starts a session on a database. It refuses if the view has no route for
-// the database.
-func (p *Proxy) Open(database string) (*Session, *Refusal) {
+// Open starts a session on a database for the caller with a key. It refuses if the
+// view has no route for the database.
+func (p *Proxy) Open(database, key string) (*Session, *Refusal) {
 	if _, ok := p.View().Route(database); !ok {
 		return nil, &Refusal{Code: RefusedNoDatabase, Reason: "no_database"}
 	}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -170,8 +170,10 @@
 
 // Dialer opens connections to upstreams.
 type Dialer interface {
-	// Dial returns *DialRefused if the upstream answered with a refusal.
-	Dial(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
+	// Dial returns *DialRefused if the upstream answered with a refusal. The
+	// connection is opened in the name of a team, or of the proxy if team is
+	// empty.
+	Dial(ctx context.Context, u *pb.SiteUpstream, team string) (Conn, error)
 }
 
 // DialRefused reports an upstream that refused a connection.
--- a/relay/client.go
+++ b/relay/client.go
@@ -199,7 +199,7 @@
 
 // DialDirectly implements proxy.Relays.
 func (c *Client) DialDirectly(ctx context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
-	return c.options.Dialer.Dial(ctx, u)
+	return c.options.Dialer.Dial(ctx, u, "")
 }
 
 // Check implements proxy.Relays.
@@ -225,7 +225,7 @@
 }
 
 // Dial implements proxy.Relays. It sends nothing yet.
-func (c *Client) Dial(_ context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
+func (c *Client) Dial(_ context.Context, u *pb.SiteUpstream, _ string) (proxy.Conn, error) {
 	p := c.relay(u.Id)
 	if p == nil {
 		// This proxy has become the relay since the caller asked.
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -158,7 +158,7 @@
 }
 
 // Dial implements proxy.Dialer.
-func (p *fakeProxy) Dial(_ context.Context, u *pb.SiteUpstream) (proxy.Conn, error) {
+func (p *fakeProxy) Dial(_ context.Context, u *pb.SiteUpstream, _ string) (proxy.Conn, error) {
 	p.mu.Lock()
 	unreachable := p.unreachable == u.Id
 	p.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,7 +29,7 @@
 
 func open(t testing.TB, p *fakeProxy, database string) *proxy.Session {
 	t.Helper()
-	s, refusal := p.Open(database)
+	s, refusal := p.Open(database, "")
 	if refusal != nil {
 		t.Fatalf("session on %s refused: %v", database, refusal)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -98,6 +98,11 @@
 	return connect.NewResponse(response), nil
 }
 
+// Admit implements RelayService.
+func (s *Server) Admit(_ context.Context, r *connect.Request[pb.AdmitRequest]) (*connect.Response[pb.AdmitResponse], error) {
+	return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
+}
+
 // Connect implements RelayService.
 func (s *Server) Connect(ctx context.Context, stream *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
