Find a proxy that reaches an upstream where the relay does not

And a proxy that is itself the relay never came to check the upstream: each failed dial extended the backoff after which the check is due.

Ruled out: giving up every relay that says 'unreachable': if the upstream is down, all proxies would dial it themselves once it is back (TestRelaysKeepTheirPlace...).

--- a/proxy/health.go
+++ b/proxy/health.go
@@ -47,16 +47,27 @@
 	connectTime = 30 * time.Millisecond
 )
 
-func (p *pool) recordDialFailureLocked(err error) {
+// noRoom reports whether an upstream has answered a dial, but had no free connection or
+// slot.
+func noRoom(err error) bool {
 	var refused *DialRefused
-	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream {
+	return errors.As(err, &refused) && refused.Code != CodeWrongUpstream
+}
+
+func (p *pool) recordDialFailureLocked(err error) {
+	if noRoom(err) {
 		// The upstream is reachable but has no free connection or slot.
+		p.lastAnswerAt = now()
 		p.backoffUntil = now().Add(backoffMin)
 		p.refusedDials++
 		p.nextDialAt = now().Add(jitter(min(backoffMin<<min(p.refusedDials-1, 3), backoffMax)))
 		return
 	}
-	p.recordFailureLocked()
+	// A backoff is not extended, so that the check which is due after it can look for
+	// another relay although statements go on asking for connections.
+	if !now().Before(p.backoffUntil) {
+		p.recordFailureLocked()
+	}
 }
 
 // recordFailureLocked records that the upstream did not answer, or is not the
@@ -242,9 +253,7 @@
 func (p *pool) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	p.mu.Lock()
-	u := p.siteUpstream
-	p.mu.Unlock()
+	u := p.record()
 	if p.relays != nil {
 		p.checkThroughRelay(ctx, u)
 		return
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -41,6 +41,8 @@
 	inFlight int
 	// dialing is the part of open that is still being dialed.
 	dialing int
+	// relayedAt is when a command of another proxy last asked for a connection.
+	relayedAt time.Time
 	// refusedDials counts the dials that the upstream has refused for lack of
 	// room since the last one that succeeded. No other is begun before
 	// nextDialAt, because each takes time of the upstream as well.
@@ -147,6 +149,13 @@
 	return p.siteUpstream.Group
 }
 
+// record returns the upstream as the view holds it.
+func (p *pool) record() *pb.SiteUpstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.siteUpstream
+}
+
 func (p *pool) id() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -139,7 +139,7 @@
 			key := keyOf(u)
 			inView[key], relayed[key] = true, useRelays
 			newWorkUntil := p.newWorkUntil(v, u)
-			p.updatePool(key, u, newWorkUntil, p.directQuota(g, u.Id, homeID, useRelays, v.Proxies))
+			p.updatePool(key, u, newWorkUntil, p.directQuota(g, key, homeID, useRelays, v.Proxies))
 			if useRelays {
 				p.updateRelayedPool(key, u, newWorkUntil)
 			}
@@ -151,13 +151,15 @@
 }
 
 // directQuota returns the quota of the connections that this proxy dials itself.
-func (p *Proxy) directQuota(g *site.GroupView, id, homeID string, useRelays bool, proxies int) connectionQuota {
+func (p *Proxy) directQuota(g *site.GroupView, key poolKey, homeID string, useRelays bool, proxies int) connectionQuota {
 	switch {
-	case useRelays && p.options.Relays.HasRelay(id):
+	case useRelays && p.options.Relays.HasRelay(key.id) && p.pools[key].relayedLately():
+		return substituteQuota(g.MaxConnections, len(p.options.Regions))
+	case useRelays && p.options.Relays.HasRelay(key.id):
 		return fallbackQuota
 	case useRelays:
 		return relayQuota(g.MaxConnections, len(p.options.Regions))
-	case id == homeID:
+	case key.id == homeID:
 		return homeQuota(g, proxies)
 	default:
 		return equalQuota(g.MaxConnections, proxies)
@@ -243,7 +245,7 @@
 			return
 		}
 		for _, pl := range p.claimChecks() {
-			tasks.Go(func() { pl.check(ctx) })
+			tasks.Go(func() { p.checkUpstream(ctx, pl) })
 		}
 		if due := p.samplesDue(); len(due) > 0 {
 			tasks.Go(func() { p.refreshSamples(ctx, due) })
@@ -265,7 +267,7 @@
 			continue
 		}
 		if g, ok := v.Group(direct.group()); ok {
-			direct.setQuota(p.directQuota(g, key.id, "", true, v.Proxies))
+			direct.setQuota(p.directQuota(g, key, "", true, v.Proxies))
 		}
 	}
 }
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -30,6 +30,10 @@
 	Check(ctx context.Context, u *pb.SiteUpstream) (r Reachability, failedFor time.Duration, err error)
 	// Avoid makes another proxy the relay for an upstream for a while.
 	Avoid(upstreamID string)
+	// FindRelay asks some other proxies whether they reach an upstream that
+	// neither the relay nor this proxy reaches. If one does, it becomes the relay
+	// for a while.
+	FindRelay(ctx context.Context, u *pb.SiteUpstream) bool
 	// DialDirectly opens a connection to the upstream itself.
 	DialDirectly(ctx context.Context, u *pb.SiteUpstream) (Conn, error)
 }
@@ -101,6 +105,9 @@
 	if err == nil && reachability == Unreachable {
 		p.recordFailedFor(failedFor)
 		reached, err = p.tryDirectly(ctx, u)
+		if !reached && p.relays.FindRelay(ctx, u) {
+			reached, err = true, nil
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,10 +137,13 @@
 // reach an upstream that others can, and another relay is chosen.
 func (p *pool) tryDirectly(ctx context.Context, u *pb.SiteUpstream) (reached bool, err error) {
 	c, err := p.relays.DialDirectly(ctx, u)
-	if err != nil {
+	if err != nil && !noRoom(err) {
 		return false, err
 	}
 	p.relays.Avoid(u.Id)
+	if err != nil {
+		return true, nil
+	}
 	// Nothing was sent on the connection, so an error of Close loses nothing.
 	_ = c.Close()
 	return true, nil
@@ -170,6 +180,15 @@
 	return found, ok
 }
 
+// Probe connects to a process of an upstream unless something is known of it, so that
+// Reachability has an answer afterwards. It takes up to checkTimeout.
+func (p *Proxy) Probe(ctx context.Context, id, address string, bornMs int64) {
+	pl, ok := p.directPool(poolKey{id: id, address: address, bornMs: bornMs})
+	if ok && pl.claimProbe() {
+		pl.check(ctx)
+	}
+}
+
 // Reachability returns what this proxy knows of its connections to a process of an
 // upstream, and for how long they have failed.
 func (p *Proxy) Reachability(id, address string, bornMs int64) (r Reachability, failedFor time.Duration) {
@@ -225,6 +244,7 @@
 	if !ok {
 		return upstreamGone()
 	}
+	pl.recordRelaying()
 	c, err := pl.acquire(ctx, turn.urgency(), turn.MaxWait)
 	r.bound = c
 	return err
--- /dev/null
+++ b/proxy/substitute.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"context"
+	"time"
+)
+
+// A relay may be unreachable for some of its data centre's proxies, or not reach an
+// upstream itself. Other proxies then relay in its place, although they may still
+// use it for their own callers. This file decides how many connections a substitute
+// may open, and when a substitute is looked for.
+
+// relayingWindow is how long after the last command of another proxy a proxy counts
+// as a substitute. It spans the pauses between the statements of few callers.
+const relayingWindow = 5 * time.Second
+
+// substituteQuota returns the quota of a proxy that relays in the place of a relay
+// which other proxies may still use. Both together stay within one and a half times
+// the share of a data centre.
+func substituteQuota(connections, dataCentres int) connectionQuota {
+	full := relayQuota(connections, dataCentres)
+	return connectionQuota{limit: max(full.limit/2, scarceConnections), idleTimeout: surplusIdleTimeout}
+}
+
+// recordRelaying records that a command of another proxy asks for a connection.
+func (p *pool) recordRelaying() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.relayedAt = now()
+}
+
+// relayedLately reports whether other proxies have sent commands to the upstream
+// through this pool lately. It reports false for a nil pool.
+func (p *pool) relayedLately() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.relayedAt.IsZero() && since(p.relayedAt) < relayingWindow
+}
+
+// claimProbe reports whether nothing is known of the upstream and nobody is finding
+// out. If so, the caller must call check.
+func (p *pool) claimProbe() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.failures > 0 || since(p.lastAnswerAt) < stalledAfter
+	if known || p.checking || p.closed {
+		return false
+	}
+	p.checking = true
+	return true
+}
+
+// checkUpstream checks an upstream that stalled or failed. If this proxy is the relay
+// and does not reach the upstream, another proxy may.
+func (p *Proxy) checkUpstream(ctx context.Context, pl *pool) {
+	pl.check(ctx)
+	if pl.relays != nil || p.options.Relays == nil || pl.unreachableFor() == 0 {
+		return
+	}
+	u := pl.record()
+	if p.usesRelays(keyOf(u)) && !p.options.Relays.HasRelay(u.Id) {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		p.options.Relays.FindRelay(ctx, u)
+	}
+}
+
+func (p *Proxy) usesRelays(key poolKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.relayedPools[key]
+	return ok
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -57,6 +57,12 @@
 	// first of the peers and upstreams that are avoided may be used again.
 	chosen    map[string]*peer
 	recheckAt time.Time
+	// avoidSelf holds until when this proxy is not the relay for an upstream that
+	// it does not reach.
+	avoidSelf map[string]time.Time
+	// searched holds by upstream how many peers the searches for a substitute of its
+	// relay have asked since one was found.
+	searched map[string]int
 }
 
 // peer is another proxy that may be a relay.
@@ -84,6 +90,9 @@
 		metrics: metrics.OrNoop(o.Metrics).SubScope("relay"),
 		peers:   make(map[string]*peer),
 		chosen:  make(map[string]*peer),
+
+		avoidSelf: make(map[string]time.Time),
+		searched:  make(map[string]int),
 	}
 }
 
@@ -127,7 +136,7 @@
 		return cached
 	}
 	var best *peer
-	highest := score(c.options.Name, upstreamID)
+	highest := c.ownScoreLocked(upstreamID, now)
 	for _, p := range c.peers {
 		if !c.usableLocked(p, upstreamID, now) {
 			continue
@@ -146,14 +155,28 @@
 		until = forUpstream
 	}
 	if now.Before(until) {
-		if c.recheckAt.IsZero() || until.Before(c.recheckAt) {
-			c.recheckAt = until
-		}
+		c.recheckByLocked(until)
 		return false
 	}
 	return !p.leaving
 }
 
+// ownScoreLocked is the score of this proxy; 0 while it does not reach the upstream.
+func (c *Client) ownScoreLocked(upstreamID string, now time.Time) uint64 {
+	if until := c.avoidSelf[upstreamID]; now.Before(until) {
+		c.recheckByLocked(until)
+		return 0
+	}
+	return score(c.options.Name, upstreamID)
+}
+
+// recheckByLocked makes the relays be chosen anew at a time, if not sooner.
+func (c *Client) recheckByLocked(at time.Time) {
+	if c.recheckAt.IsZero() || at.Before(c.recheckAt) {
+		c.recheckAt = at
+	}
+}
+
 // score ranks the proxies as relays of an upstream; the highest is chosen.
 func score(name, upstreamID string) uint64 { return xxhash.Sum64String(name + " " + upstreamID) }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -384,3 +384,50 @@
 	unreachable, _ := s.proxies[0].PrimaryReachability()
 	assert.Equal(t, len(unreachable), 0)
 }
+
+// Guards against a data centre without service because its relay and some other proxies
+// are cut off from an upstream: callers of these were refused although a proxy next
+// to them reached it.
+func TestProxyThatReachesTheUpstreamRelaysForThoseThatDont(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	reaching := s.proxies[5]
+	for _, p := range s.proxies[:5] {
+		p.mu.Lock()
+		p.unreachable = "p1"
+		p.mu.Unlock()
+	}
+	for _, p := range s.proxies {
+		session := open(t, p, "latest")
+		waitFor(t, "writes of "+p.name+" to be served", func() bool {
+			return session.Do(context.Background(), write("w-"+p.name, "x")).Refusal == nil
+		})
+		waitFor(t, "the primary to count as reachable", func() bool {
+			unreachable, _ := p.PrimaryReachability()
+			return len(unreachable) == 0
+		})
+		if p != reaching {
+			assert.Equal(t, p.client.relay("p1").host.Name, reaching.name)
+		}
+	}
+}
+
+// Guards against proxies that all dial an upstream themselves once it is back, because
+// each has given up all others as relays while it was down.
+func TestRelaysKeepTheirPlaceWhileAnUpstreamIsDown(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	relay := s.relayFor("p1")
+	for _, p := range s.proxies {
+		p.mu.Lock()
+		p.unreachable = "p1"
+		p.mu.Unlock()
+	}
+	u := s.parts.Upstreams[0]
+	for _, p := range s.proxies {
+		for range len(s.proxies) {
+			assert.Check(t, !p.client.FindRelay(context.Background(), u))
+		}
+		if p != relay {
+			assert.Equal(t, p.client.relay("p1").host.Name, relay.name)
+		}
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -84,9 +84,10 @@
 }
 
 // Check implements RelayService.
-func (s *Server) Check(_ context.Context, r *connect.Request[pb.RelayCheckRequest]) (*connect.Response[pb.RelayCheckResponse], error) {
+func (s *Server) Check(ctx context.Context, r *connect.Request[pb.RelayCheckRequest]) (*connect.Response[pb.RelayCheckResponse], error) {
 	target := r.Msg.GetTarget()
 	response := &pb.RelayCheckResponse{}
+	s.proxy.Probe(ctx, target.GetUpstream(), target.GetAddress(), target.GetBornMs())
 	reachability, failedFor := s.proxy.Reachability(target.GetUpstream(), target.GetAddress(), target.GetBornMs())
 	switch reachability {
 	case proxy.Reachable:
