Choose upstreams of reads by weight, from the relay's load and its age

Cause: each proxy took the upstream with the least expected wait, from its own few answers and its own statements against a fixed limit of 64. All hosts of a data centre turned to the same upstream, overran it and turned to the next; an upstream that had not answered for seconds looked ten times faster than it was, so one that was slow or had just started was hit by all at once.

Change: package balance chooses at random with weights (load, answer times, each weighed by its age; nearness; the primary's reserve, learned from the work that only it can do). A relay tells the load of its data centre with each answer that it sends anyway. The reasons of choices and the age of the figures are counted.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -190,10 +190,24 @@
 	p.metrics.Tagged(map[string]string{"reason": r.Reason}).Counter("refused_total").Inc(1)
 }
 
+// recordMix records whether another upstream could have run a statement.
+func (s *Session) recordMix(st *Statement, took time.Duration) {
+	route, ok := s.proxy.View().Route(s.database)
+	if !ok {
+		return
+	}
+	readOnly := st.Kind == KindRead || st.Kind == KindExecute && s.prepared[st.Name].readOnly
+	if s.tx != nil {
+		readOnly = s.tx.readOnly
+	}
+	s.proxy.group(route.Group).mix.add(now(), took, !readOnly || !replicaAllowed(route))
+}
+
 // recordServed records the metrics, the mean time and the log line of a statement
 // that an upstream has run.
 func (s *Session) recordServed(st *Statement, c *conn, took time.Duration, a Answer) {
 	s.proxy.metrics.Timer("statement_seconds").Record(took)
+	s.recordMix(st, took)
 	switch {
 	case s.tx == nil:
 		s.proxy.operationTimes.add(s.operationKind(), took)
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -1,22 +1,18 @@
 package proxy
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
+	"lovageslip/balance"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/site"
 	"lovageslip/upstream"
 )
 
-// primaryPenalty multiplies the expected wait at the primary for reads that a
-// replica can serve, because writes can run at the primary only.
-const primaryPenalty = 1.5
-
-// remotePenalty is added to the expected wait at an upstream in another data
-// centre, because its answers cross links that are shared and charged.
-const remotePenalty = 10 * time.Millisecond
-
 // candidate is an upstream that may serve a read.
 type candidate struct {
 	upstream *pb.SiteUpstream
@@ -24,15 +20,27 @@
 	primary  bool
 }
 
-// chooseForRead returns the upstream with the least expected wait for a read that
-// needs minPosition. An upstream that has just failed is chosen only if excluded
-// leaves no other, and one that is likely to lack the position is never chosen. An
-// upstream that is leaving gets no read unless all are leaving: it may end at any
+// chooseForRead returns an upstream for a read that needs minPosition. Package balance
+// decides among those that fit. An upstream that has just failed is chosen only if
+// excluded leaves no other, and one that is likely to lack the position is never chosen.
+// An upstream that is leaving gets no read unless all are leaving: it may end at any
 // time, and others that refuse now will soon have room. It gets none at all once its
 // leaving period is over.
 func (p *Proxy) chooseForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) (candidate, bool) {
-	var best candidate
-	var bestWait time.Duration
+	fitting, known := p.fittingForRead(g, minPosition, excluded)
+	if len(fitting) == 0 {
+		return candidate{}, false
+	}
+	chosen, reason := balance.Choose(known, rand.Float64)
+	p.countChoice(reason, known[chosen])
+	return fitting[chosen], true
+}
+
+// fittingForRead returns the upstreams that may serve a read, and what is known of each.
+// Those that have just failed or refused a statement are left out if there are others.
+func (p *Proxy) fittingForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) ([]candidate, []balance.Candidate) {
+	var fitting, backingOff []candidate
+	var known, knownBackingOff []balance.Candidate
 	allLeaving := !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool { return !u.Leaving })
 	for _, u := range g.Upstreams {
 		if excluded[u.Id] || (u.Leaving && !allLeaving) {
@@ -43,38 +51,63 @@
 			continue
 		}
 		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
-		wait, fits := p.expectedWait(c, minPosition)
-		if !fits {
+		e := pl.estimate(minPosition)
+		// The primary holds every position.
+		if e.behind && !c.primary {
 			continue
 		}
-		if best.pool == nil || wait < bestWait {
-			best, bestWait = c, wait
+		e.known.Distance = int(p.distanceTo(u))
+		if c.primary {
+			e.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
 		}
+		if e.backingOff {
+			backingOff, knownBackingOff = append(backingOff, c), append(knownBackingOff, e.known)
+			continue
+		}
+		fitting, known = append(fitting, c), append(known, e.known)
 	}
-	return best, best.pool != nil
+	if len(fitting) == 0 {
+		return backingOff, knownBackingOff
+	}
+	return fitting, known
 }
 
-// backoffPenalty is added to the expected wait at an upstream that has just
-// failed or refused a statement; it outweighs any expected wait.
-const backoffPenalty = 20 * time.Second
-
-// expectedWait returns the expected wait at an upstream with its penalties. It
-// reports false for a replica that lately lacked minPosition and so would
-// probably refuse the read. The primary holds every position.
-func (p *Proxy) expectedWait(c candidate, minPosition upstream.Position) (time.Duration, bool) {
-	e := c.pool.estimate(minPosition)
-	if e.behind && !c.primary {
-		return 0, false
+func (p *Proxy) countChoice(reason balance.Reason, known balance.Candidate) {
+	p.metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total").Inc(1)
+	if known.LoadAge != balance.Unknown {
+		p.metrics.Timer("load_figure_age_seconds").Record(known.LoadAge)
 	}
-	wait := e.wait
-	if c.primary {
-		wait = time.Duration(float64(wait) * primaryPenalty)
-	}
-	if c.upstream.DataCentre != p.options.DataCentre {
-		wait += remotePenalty
-	}
-	if e.backingOff {
-		wait += backoffPenalty
+}
+
+// mixHalfLife is the half-life of the work that workMix remembers: some waves of load
+// pass within it, so that the primary's part stays even.
+const mixHalfLife = 20 * time.Second
+
+// workMix is how much of a group's work only the primary can do, and how much could run
+// at any of its upstreams, as this proxy's own callers send it. It is safe for
+// concurrent use.
+type workMix struct {
+	mu             sync.Mutex
+	forced, chosen float64 // seconds at upstreams, halved after each mixHalfLife
+	at             time.Time
+}
+
+// add records that a statement took a time at an upstream.
+func (m *workMix) add(at time.Time, took time.Duration, forced bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	decay := math.Exp2(-float64(at.Sub(m.at)) / float64(mixHalfLife))
+	m.forced, m.chosen, m.at = m.forced*decay, m.chosen*decay, at
+	if forced {
+		m.forced += took.Seconds()
+	} else {
+		m.chosen += took.Seconds()
 	}
-	return wait, true
+}
+
+// free returns the part of the primary that is left for work that replicas can do.
+func (m *workMix) free(replicas int) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return balance.Free(m.forced, m.chosen, replicas)
 }
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"lovageslip/balance"
 	"lovageslip/upstream"
 )
 
@@ -16,6 +17,9 @@
 	// serviceTimeWeight is the weight of one answer in the moving average of
 	// the service time.
 	serviceTimeWeight = 0.15
+	// maxAnswerTimeWeight keeps one long statement from looking like a slow
+	// upstream.
+	maxAnswerTimeWeight = 0.5
 	// minRTTDrift makes the minimum round-trip time grow by 1/200 with each
 	// answer, so that a path that has become longer is learned within some
 	// hundred answers.
@@ -67,6 +71,8 @@
 	}
 	pause := min(backoffMin<<min(p.failures, 5), backoffMax)
 	p.failures++
+	// What was known before tells nothing of the upstream once it is back.
+	p.relayLoad = relayLoad{}
 	p.backoffUntil = now().Add(pause)
 }
 
@@ -100,7 +106,9 @@
 func (p *pool) recordNotGranted(waited time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastRunAt = now()
+	at := now()
+	p.addAnswerTimeLocked(at, p.answerTime+waited)
+	p.lastRunAt = at
 	ms := p.serviceTime + float64(waited)/float64(time.Millisecond)
 	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
 }
@@ -130,6 +138,7 @@
 	p.recordAnswerLocked(at, took)
 	ms := float64(took) / float64(time.Millisecond)
 	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
+	p.addAnswerTimeLocked(at, took)
 	p.lastRunAt = at
 	if queueMs := p.serviceTime - float64(p.minRTT)/float64(time.Millisecond); queueMs > float64(maxQueueDelay)/float64(time.Millisecond) {
 		p.concurrency.onQueueDelay(at)
@@ -138,6 +147,15 @@
 	p.concurrency.onSuccess(p.inFlight)
 }
 
+// addAnswerTimeLocked adds to the moving average by which upstreams are chosen. An answer
+// weighs more if the last one came long ago: where many proxies share an upstream, each
+// gets few answers.
+func (p *pool) addAnswerTimeLocked(at time.Time, took time.Duration) {
+	old := 1 - math.Exp2(-float64(ageOf(p.lastRunAt, at))/float64(serviceTimeHalfLife))
+	weight := min(max(serviceTimeWeight, old), maxAnswerTimeWeight)
+	p.answerTime += time.Duration(weight * float64(took-p.answerTime))
+}
+
 // recordStatement records the answer to a statement, whether it ran or not.
 func (p *pool) recordStatement(code Code, took time.Duration) {
 	switch {
@@ -189,6 +207,8 @@
 	// the next answer. behind is set if the upstream is likely to lack the
 	// position that the statement needs.
 	backingOff, behind bool
+	// known holds the figures for the choice among upstreams.
+	known balance.Candidate
 }
 
 // estimate returns the estimate for a statement that needs minPosition; the zero
@@ -201,16 +221,41 @@
 	service := p.serviceTime * max(decay, 0.1)
 	service *= 1 + float64(p.inFlight+len(p.waiters))/p.concurrency.limit
 	wait := time.Duration(service * float64(time.Millisecond))
-	if len(p.idle) == 0 && p.quota.scarce {
-		wait += connectTime
-	}
+	known := p.knownLocked(at)
 	return estimate{
-		wait:       wait,
+		wait:       wait + known.Overhead,
+		known:      known,
 		backingOff: p.failures > 0 || at.Before(p.backoffUntil),
 		behind:     at.Before(p.laggingUntil) && p.laggingPosition.Before(minPosition),
 	}
 }
 
+// knownLocked returns what the pool knows of the upstream's load and answer times.
+func (p *pool) knownLocked(at time.Time) balance.Candidate {
+	c := balance.Candidate{
+		AnswerTime:  p.answerTime,
+		AnswerAge:   ageOf(p.lastRunAt, at),
+		Outstanding: float64(p.inFlight + len(p.waiters)),
+		Capacity:    p.concurrency.limit,
+		Free:        1,
+	}
+	if len(p.idle) == 0 && p.quota.scarce {
+		c.Overhead = connectTime
+	}
+	if p.relays != nil {
+		p.relayLoad.describe(&c, at)
+	}
+	return c
+}
+
+// ageOf returns how old a figure of a time is; the zero time means that there is none.
+func ageOf(t, at time.Time) time.Duration {
+	if t.IsZero() {
+		return balance.Unknown
+	}
+	return at.Sub(t)
+}
+
 const (
 	// stalledAfter is how long a primary with statements in flight may answer
 	// nothing before it is checked. Few statements take as long, and a check
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -52,9 +52,13 @@
 	grantTimerSet bool
 
 	serviceTime float64 // milliseconds
+	// answerTime is like serviceTime, but follows rare answers sooner.
+	answerTime time.Duration
 	// minRTT is the shortest recent time until an answer, which is about the
 	// round-trip time of the network.
-	minRTT       time.Duration
+	minRTT time.Duration
+	// relayLoad is the last figure from the relay; unused without relays.
+	relayLoad    relayLoad
 	lastRunAt    time.Time
 	lastAnswerAt time.Time
 	checking     bool
@@ -103,6 +107,7 @@
 		quota:        quota,
 		concurrency:  newConcurrencyLimit(),
 		serviceTime:  float64(initialServiceTime / time.Millisecond),
+		answerTime:   initialServiceTime,
 	}
 }
 
@@ -161,6 +166,7 @@
 		p.idle = p.idle[:len(p.idle)-1]
 		if c.Alive() {
 			p.inFlight++
+			p.relayLoad.sentSince++
 			c.countedInFlight = true
 			return c
 		}
@@ -350,6 +356,7 @@
 	if !c.countedInFlight {
 		c.countedInFlight = true
 		p.inFlight++
+		p.relayLoad.sentSince++
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -96,6 +96,7 @@
 // group holds the position samples of one group of upstreams.
 type group struct {
 	positions positions
+	mix       workMix
 	// lastDemandAt is when a read last needed a sample, in nanoseconds of the
 	// boot clock.
 	lastDemandAt atomic.Int64
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -232,6 +232,7 @@
 func exchange(c *conn, deadline time.Time, setUp []Command, commands ...Command) ([]Answer, error) {
 	c.commands = append(append(c.commands[:0], setUp...), commands...)
 	answers, err := c.Exchange(deadline, c.commands...)
+	c.recordLoad()
 	// The buffer must not keep the caller's statement from being freed.
 	clear(c.commands)
 	if err != nil {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"lovageslip/bootclock"
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/proxy"
@@ -31,11 +32,19 @@
 	// state is the transaction state after the last answer.
 	state  proxy.TransactionState
 	broken atomic.Bool
+	// load is the figure of the last response with one, received at loadAt.
+	load   proxy.Load
+	loadAt time.Time
 }
 
 // TakeTurn sets the turn of the next commands.
 func (c *conn) TakeTurn(t proxy.Turn) { c.turn = t }
 
+// Load returns what the last response told of the relay's load at the upstream.
+func (c *conn) Load() (l proxy.Load, receivedAt time.Time, ok bool) {
+	return c.load, c.loadAt, !c.loadAt.IsZero()
+}
+
 // Alive implements proxy.Conn. A connection whose relay is no longer the one for
 // the upstream is given up.
 func (c *conn) Alive() bool {
@@ -107,6 +116,11 @@
 		answers[i] = answerFromWire(a)
 	}
 	c.state = answers[len(answers)-1].State
+	// Relays of earlier versions send no limit.
+	if response.LimitHundredths > 0 {
+		c.load = proxy.Load{Outstanding: int(response.Outstanding), Limit: float64(response.LimitHundredths) / 100}
+		c.loadAt = bootclock.Now()
+	}
 	return answers
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,10 +11,37 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/proxy"
 )
 
+// Guards against an entry proxy that knows only its own statements at an upstream that
+// all proxies of the data centre share.
+func TestAnswersTellTheLoadOfTheRelay(t *testing.T) {
+	s := newFakeSite(t, 2, 8)
+	p := s.proxies[0]
+	for _, u := range s.parts.Upstreams {
+		if !p.client.HasRelay(u.Id) {
+			continue
+		}
+		dialed, err := p.client.Dial(context.Background(), u, "")
+		assert.NilError(t, err)
+		c := dialed.(*conn)
+		_, _, ok := c.Load()
+		assert.Assert(t, !ok, "a figure before the first answer")
+		c.TakeTurn(proxy.Turn{Target: time.Second, MaxWait: time.Second})
+		_, err = c.Exchange(time.Now().Add(time.Second), proxy.Command{Kind: proxy.CommandForward, Statement: read("r" + u.Id)})
+		assert.NilError(t, err)
+		load, at, ok := c.Load()
+		assert.Assert(t, ok && load.Limit >= 1 && load.Outstanding == 0, "%+v", load)
+		assert.Assert(t, bootclock.Now().Sub(at) < time.Second)
+		assert.NilError(t, c.Close())
+		return
+	}
+	t.Fatal("the first proxy relays for all upstreams itself")
+}
+
 func read(id string) *proxy.Statement {
 	return &proxy.Statement{ID: id, Kind: proxy.KindRead, Text: "READ x"}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -189,8 +189,9 @@
 	for i, w := range request.Commands {
 		commands[i] = commandFromWire(w)
 	}
-	response := &pb.RelayResponse{}
 	answers, err := c.run(ctx, request, commands)
+	load := c.relayed.Load()
+	response := &pb.RelayResponse{Outstanding: uint32(load.Outstanding), LimitHundredths: uint32(100 * load.Limit)}
 	if err != nil {
 		c.server.metrics.Counter("connections_lost_total").Inc(1)
 		c.server.log.Warn("connection to an upstream was lost while a command was relayed", "request", request.Commands[len(request.Commands)-1].Request, "error", err)
