Count running requests when a preemption is weighed

Cause: the queue preempts a hanging read only if requests that ran past the limit (20 ms at least) lasted three times as long on average. The average held finished requests only. One read that ended after 25 ms because the host was busy set it to 25 ms, and from then on no request was preempted, whatever hung in all slots: the short read was refused with wait_exceeded after its 2 s. The queue did not ask again either, because no time was armed. Change: requests that still run past the limit count for as long as they have run; while a preemption doesn't pay, the policy is asked again after the limit. A history that already says that it pays is used as before. Result: TestLateEndsDoNotProtectHangingRequests fails on the old code after 20 s and passes. Ruled out: a wait for the primary's confirmation; it is no part of the message.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -106,6 +106,31 @@
 	(<-short).Release(time.Millisecond)
 }
 
+// Guards against a few requests that ended just past the limit, because the host
+// was busy, and from then on protect requests that hang in all slots.
+func TestLateEndsDoNotProtectHangingRequests(t *testing.T) {
+	q := New(Options{Slots: 2})
+	for range 40 {
+		acquire(t, q, request(1)).Release(time.Millisecond)
+	}
+	for range 3 {
+		acquire(t, q, request(1)).Release(minPreemptAfter + time.Millisecond)
+	}
+	r := request(1)
+	r.Preemptible = true
+	first, second := acquire(t, q, r), acquire(t, q, r)
+	short, _ := inBackground(context.Background(), q, request(1))
+	select {
+	case <-first.Preempted():
+		first.Release(NotMeasured)
+	case <-second.Preempted():
+		second.Release(NotMeasured)
+	case <-time.After(20 * time.Second):
+		t.Fatal("no hanging request was preempted within 20 s")
+	}
+	(<-short).Release(time.Millisecond)
+}
+
 // Guards against preempting a request after a part of its answer was sent: it
 // could not be run again.
 func TestRequestIsNotPreemptedAfterAnswerHasBegun(t *testing.T) {
--- a/admission/preempt.go
+++ b/admission/preempt.go
@@ -56,9 +56,12 @@
 // one that started last first, so that little work is lost.
 func (p *ShortestJobFirst) victim(u *upstreamState, now time.Time) (*Slot, time.Time) {
 	limit := u.preemptAfter(now)
-	if math.IsInf(limit, 1) || !p.shortWorkWaits(u, now) || !p.preemptionPays(limit, now) {
+	if math.IsInf(limit, 1) || !p.shortWorkWaits(u, now) {
 		return nil, time.Time{}
 	}
+	if !p.preemptionPays(u, limit, now) {
+		return nil, now.Add(toDuration(limit))
+	}
 	youngest, next := p.youngestPreemptible(u, now)
 	if youngest == nil {
 		return nil, next
@@ -76,10 +79,22 @@
 
 // preemptionPays reports whether a request that has run for limit seconds is
 // expected to run for much longer. Otherwise a preemption only wastes the work
-// done.
-func (p *ShortestJobFirst) preemptionPays(limit float64, now time.Time) bool {
+// done. Requests that still run count for as long as they have run: a few that
+// ended just past the limit, for example because the host was busy, say nothing
+// about others that hang.
+func (p *ShortestJobFirst) preemptionPays(u *upstreamState, limit float64, now time.Time) bool {
 	mean := p.overrunMean(now)
-	return mean == 0 || mean >= minOverrunFactor*limit
+	if mean == 0 || mean >= minOverrunFactor*limit {
+		return true
+	}
+	sum, weight := p.overrun.sum, p.overrun.weight
+	for _, s := range u.running {
+		if age := now.Sub(s.startedAt).Seconds(); age > limit {
+			sum += age
+			weight++
+		}
+	}
+	return sum >= minOverrunFactor*limit*weight
 }
 
 // youngestPreemptible returns the request that started last of those that count
