Wait until a frozen process has stopped

Cause: the test's freeze returned as soon as SIGSTOP was queued. The signal takes effect when a thread of the process is scheduled; until then the other threads run on. On a busy machine the leader answered the first read after "the freeze", and TestControlHostThatLostItsDiskIsReplaced took the answer for one of the wiped host and the follower. The test was wrong, not the product. Change: freeze waits until each thread is in state T (proc(5)). What the tests check afterwards is unchanged, and stricter in time: nothing of the 3 s without a quorum passes with a leader that still runs.

--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // binaries is the directory of the daemons that TestMain builds.
@@ -130,8 +132,33 @@
 	<-p.exited
 }
 
-// freeze suspends the process with SIGSTOP until unfreeze is called.
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+// freeze suspends the process with SIGSTOP until unfreeze is called. It returns
+// once all threads have stopped: kill(2) returns as soon as the signal is queued,
+// and on a busy machine the process goes on until its thread is scheduled.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if p.stopped() {
+			return poll.Success()
+		}
+		return poll.Continue("%s to stop", p.name)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// stopped reports whether each thread of the process is in the state T, stopped
+// by a signal (proc(5)).
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	assert.NilError(p.t, err)
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil || !strings.Contains(string(stat), ") T ") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
 
 func (p *process) unfreeze() { p.signal(syscall.SIGCONT) }
 
