--- a/site/view.go
+++ b/site/view.go
@@ -32,6 +32,10 @@
 	routes map[string]*pb.SiteRoute
 	groups map[string]*GroupView
 	sorted []*GroupView // by name
+
+	hasTeams  bool
+	needsKeys bool
+	teams     map[Digest]*Team // by the digests of their keys
 }
 
 // GroupView is one group in a view.
@@ -61,6 +65,19 @@
 // Groups returns all groups, sorted by name. The caller must not modify the slice.
 func (v *View) Groups() []*GroupView { return v.sorted }
 
+// HasTeams reports whether callers belong to teams. Otherwise nobody needs a key.
+func (v *View) HasTeams() bool { return v.hasTeams }
+
+// NeedsKeys reports whether callers of some route need the key of a team.
+func (v *View) NeedsKeys() bool { return v.needsKeys }
+
+// Team returns the team that holds the key with a digest. No team holds the empty
+// key, which stands for a caller without one.
+func (v *View) Team(key Digest) (*Team, bool) {
+	t, ok := v.teams[key]
+	return t, ok
+}
+
 // LeavingNotBefore returns a time on the boot clock after which an upstream that
 // leaves has been acknowledged; the zero time if none is known.
 func (v *View) LeavingNotBefore(id string) time.Time { return v.leavingNotBefore[id] }
@@ -98,8 +115,12 @@
 
 		routes: make(map[string]*pb.SiteRoute),
 		groups: make(map[string]*GroupView),
+
+		hasTeams: len(p.Config.GetTeams()) > 0,
+		teams:    teamsByKey(p.Config.GetTeams()),
 	}
 	for _, r := range p.Config.GetRoutes() {
+		v.needsKeys = v.needsKeys || (v.hasTeams && !r.Open)
 		if other, ok := v.routes[r.Database]; !ok || len(r.Prefix) < len(other.Prefix) {
 			v.routes[r.Database] = r
 		}
