A confirmation becomes visible only behind its view

Cause: applyUpdate advanced the time of the latest confirmation before the proxy had taken the view over. Whoever reads that time and then the view could take the confirmation for one of the view before. Nothing relied on the pair so far; the age of keys will.

Change: a confirmation counts once SetView of its view has returned.

Ruled out: shorter reports for all.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -62,6 +62,9 @@
 	// Seeds returns internal addresses of control hosts that may be running.
 	Seeds      func() []string
 	HTTPClient *http.Client
+	// MaxViewAge is the age at which the proxy stops to rely on its view; 0 if
+	// none is set.
+	MaxViewAge time.Duration
 	Log        *slog.Logger
 	Metrics    tally.Scope
 }
@@ -87,9 +90,11 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	parts site.ViewParts
-	// currentAt is the latest time at which parts are known to have been
-	// complete, on the boot clock. pending is a later confirmation of a state
-	// that parts have not reached yet.
+	// shownIndex is the index of the view that the proxy has.
+	shownIndex uint64
+	// currentAt is the latest time at which the proxy's view is known to have
+	// been complete, on the boot clock. pending is a later confirmation of a
+	// state that the view has not reached yet.
 	currentAt time.Time
 	pending   confirmation
 	// answeredReportAt is when the newest report that was answered was sent.
@@ -280,7 +285,7 @@
 			w.log.Info("proxy watches a control host", "address", address)
 			firstUpdate = false
 		}
-		if age := w.viewAge(); age > maxViewAge {
+		if age := w.viewAge(); age > w.lagLimit() {
 			return &NotConfirmed{Address: address, For: age}
 		}
 	}
@@ -324,16 +329,17 @@
 	if u.RelaysChanged {
 		w.parts.Relays = u.Relays
 	}
-	w.applyPendingLocked()
 	parts, currentAt := w.parts, w.currentAt
 	w.mu.Unlock()
 	if !changed {
+		w.viewShown(parts.Index)
 		return true
 	}
 	w.log.Info("view of the site updated", "index", parts.Index, "config", parts.Config.GetVersion(),
 		"upstreams", len(parts.Upstreams), "leaving", leavingIDs(parts.Upstreams), "proxies", parts.Proxies,
 		"relays", len(parts.Relays), "current", age(currentAt), "from", address)
 	p.SetView(site.NewView(parts))
+	w.viewShown(parts.Index)
 	return true
 }
 
@@ -349,7 +355,7 @@
 		switch {
 		case len(unreachable) > 0:
 			interval = sitecontrol.UnreachableReportInterval
-		case w.viewAge() > sitecontrol.ReportInterval:
+		case w.confirmationDue():
 			interval = unconfirmedReportInterval
 		}
 		address, leaving := w.reportTarget()
