Only callers with a valid key are served, and none for long after its withdrawal

Change: a session keeps the digest of its key and checks it at each statement and before each attempt. An unknown or withdrawn key is refused as AUTHFAIL, an open transaction is rolled back; one whose key moved to another team is aborted. A proxy that cannot know (no view yet, or a view that was not confirmed for revoke_ms) answers BUSY with a time to come back, also for databases that it does not know. It reports itself as not ready while that lasts, unless all routes are open. The name of a bad message is no longer logged or answered: it may be a key, and is of any length. New: refused sessions count in refused_total; gauge view_age_seconds.

Result: new tests pass: TestWithdrawnKeyRunsNothing (8 moments), old and missing views, moved keys, and a model of withdrawals in virtual time over the real Watch and Session.

Ruled out: to refuse SET, PREPARE and DEALLOC while the view is too old. They need no upstream, and callers close their session after such an answer.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -81,12 +81,16 @@
 }
 
 // retryUntilFinal makes attempts until one is final, maxRetryDuration would be
-// exceeded, no upstream is left that could serve the next one, or ctx ends. In the
-// last three cases it refuses the statement as not run. That is true because no
-// attempt that is retried has taken effect.
+// exceeded, the caller may not run the statement any more, no upstream is left that
+// could serve the next attempt, or ctx ends. In the last four cases it refuses the
+// statement as not run. That is true because no attempt that is retried has taken
+// effect.
 func (s *Session) retryUntilFinal(ctx context.Context, st *Statement, try func() attempt) Reply {
 	deadline := now().Add(maxRetryDuration)
 	for n := 0; ; n++ {
+		if refusal := s.authorize(); refusal != nil {
+			return Reply{Refusal: refusal}
+		}
 		a := try()
 		if a.done {
 			return a.reply
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -61,8 +61,16 @@
 	// acknowledgement of its announcement that it leaves. The default is
 	// defaultLeavingPeriod.
 	LeavingPeriod time.Duration
-	Log           *slog.Logger
-	Metrics       tally.Scope
+	// ViewConfirmedAt returns the latest time on the boot clock at which the
+	// proxy's view is known to have been complete; the zero time if none is
+	// known. It may say so only once SetView of that view has returned. It is
+	// needed if MaxKeyAge is set.
+	ViewConfirmedAt func() time.Time
+	// MaxKeyAge is how long after the acknowledgement of its withdrawal a key may
+	// still be used on a proxy that does not learn of it; 0 for no bound.
+	MaxKeyAge time.Duration
+	Log       *slog.Logger
+	Metrics   tally.Scope
 }
 
 // Proxy runs the statements of sessions on the upstreams of its current view of
@@ -250,6 +258,7 @@
 		}
 		p.refreshRelayQuotas()
 		p.closeIdle()
+		p.recordViewAge()
 	}
 }
 
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -4,9 +4,11 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
 	"lovageslip/upstream"
 )
 
@@ -21,6 +23,10 @@
 type Session struct {
 	proxy    *Proxy
 	database string
+	// key is the digest of the caller's key, and team the caller's team by the
+	// last authorize; nil if the caller needs none.
+	key  site.Digest
+	team *site.Team
 
 	values   map[string]string
 	prepared map[string]preparedStatement
@@ -39,19 +45,24 @@
 	shape    string
 }
 
-// Open starts a session on a database for the caller with a key. It refuses if the
-// view has no route for the database.
+// Open starts a session on a database for the caller with a key, of which it keeps
+// only the digest. It refuses if the view has no route for the database or no team
+// with the key, unless the route is open, or if the view cannot tell.
 func (p *Proxy) Open(database, key string) (*Session, *Refusal) {
-	if _, ok := p.View().Route(database); !ok {
-		return nil, &Refusal{Code: RefusedNoDatabase, Reason: "no_database"}
-	}
-	return &Session{
-		proxy:    p,
-		database: database,
+	s := &Session{
+		proxy: p,
+		// A copy, so that the message that holds the key can be freed.
+		database: strings.Clone(database),
+		key:      site.KeyDigest(key),
 		values:   map[string]string{},
 		prepared: map[string]preparedStatement{},
 		state:    StateIdle,
-	}, nil
+	}
+	if refusal := s.authorize(); refusal != nil {
+		p.countRefusal(refusal)
+		return nil, refusal
+	}
+	return s, nil
 }
 
 // State returns the state of the session's transaction.
@@ -81,6 +92,11 @@
 	if s.state == StateFailed && st.Kind != KindRollback && st.Kind != KindCommit {
 		return refuse(RefusedMalformed, "transaction_failed")
 	}
+	if s.state != StateFailed {
+		if refusal := s.authorizeStatement(st.Kind); refusal != nil {
+			return s.refuseUnauthorized(st.Kind, refusal)
+		}
+	}
 	switch st.Kind {
 	case KindBegin:
 		return s.begin(st)
@@ -163,7 +179,7 @@
 	case s.tx != nil:
 		return s.runInTransaction(ctx, stmt)
 	case !ok:
-		return refuse(RefusedNoDatabase, "no_database")
+		return refuse(RefusedNoDatabase, reasonNoDatabase)
 	case stmt.readOnly:
 		return s.runRead(ctx, stmt, route)
 	default:
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -202,6 +202,9 @@
 	RefusedMalformed
 	RefusedNoDatabase
 	RefusedTooLarge
+	// RefusedUnknownKey: no team holds the caller's key, or none does any more.
+	// The statement did not run.
+	RefusedUnknownKey
 )
 
 // Refusal is the proxy's own final answer to a statement, in place of an
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -30,7 +30,7 @@
 		return refuse(RefusedMalformed, "transaction_open")
 	}
 	if _, ok := s.proxy.View().Route(s.database); !ok {
-		return refuse(RefusedNoDatabase, "no_database")
+		return refuse(RefusedNoDatabase, reasonNoDatabase)
 	}
 	s.tx = &transaction{readOnly: st.ReadOnly}
 	s.state = StateOpen
@@ -98,7 +98,7 @@
 	route, ok := s.proxy.View().Route(s.database)
 	if !ok {
 		s.state = StateFailed
-		reply := refuse(RefusedNoDatabase, "no_database")
+		reply := refuse(RefusedNoDatabase, reasonNoDatabase)
 		return &reply
 	}
 	tx.route = route
@@ -155,7 +155,7 @@
 	})
 	if reply.Refusal != nil && s.state == StateOpen {
 		s.failTransaction()
-		reply.Refusal.Code = RefusedAborted
+		reply.Refusal = inTransaction(reply.Refusal)
 	}
 	return reply
 }
@@ -233,7 +233,7 @@
 	reply := s.retryUntilFinal(ctx, st, func() attempt { return s.commitOnce(stmt) })
 	if s.tx != nil {
 		s.endTransaction()
-		reply.Refusal.Code = RefusedAborted
+		reply.Refusal = inTransaction(reply.Refusal)
 	}
 	return reply
 }
