A connection to an upstream serves one team from its opening to its close

Change: acquire takes the team; waiters, idle connections, dials and counts are kept by team (poolTeam). A refused dial after a close is repeated after today's pause. Own commands (position samples, checks) use any connection. The team travels to relays with each request; a command of another team in an open transaction ends the stream; a virtual connection that passes to another team is reset first, because names of prepared statements are xxhash values, for which a caller can look for a collision. Session.team is a placeholder (the key) until keys are looked up.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -2,29 +2,33 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
-// dial opens a connection that grantLocked has already counted in open and
-// dialing.
-func (p *pool) dial() {
+// dial opens a connection for a team that startDialLocked has already counted in
+// open and dialing.
+func (p *pool) dial(t *poolTeam) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	p.mu.Lock()
 	u := p.siteUpstream
 	p.mu.Unlock()
-	dialed, err := p.dialer.Dial(ctx, u, "")
+	dialed, err := p.dialer.Dial(ctx, u, t.name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	t.dialing--
 	if err != nil {
 		p.open--
+		t.open--
 		p.recordDialFailureLocked(err)
-		p.failWaitersLocked(err)
+		p.failAfterDialLocked(t, err)
 		return
 	}
 	p.refusedDials, p.nextDialAt = 0, time.Time{}
-	c := p.newConn(dialed)
+	p.metrics.Counter("connections_opened_total").Inc(1)
+	c := p.newConn(dialed, t)
 	if p.closed {
 		p.closeLocked(c)
 		return
@@ -33,19 +37,26 @@
 	p.grantLocked()
 }
 
-func (p *pool) newConn(opened Conn) *conn {
-	return &conn{Conn: opened, pool: p, values: map[string]string{}, prepared: map[string]bool{}}
+// newConn returns an opened connection that is already counted.
+func (p *pool) newConn(opened Conn, t *poolTeam) *conn {
+	return &conn{Conn: opened, pool: p, team: t, values: map[string]string{}, prepared: map[string]bool{}}
 }
 
-// failWaitersLocked ends the wait of all statements after a failed dial, so
-// that they can choose another upstream, unless other connections are open that
-// they can wait for.
-func (p *pool) failWaitersLocked(err error) {
-	if p.open > p.dialing {
+// failAfterDialLocked ends the wait of all statements after a failed dial, so that
+// they can choose another upstream, unless other connections are open that they
+// can wait for. Statements of a team without connections can't wait for those of
+// other teams, unless one of these can be closed once the upstream has room.
+func (p *pool) failAfterDialLocked(t *poolTeam, err error) {
+	if p.open <= p.dialing {
+		p.failWaitersLocked(nil, err)
 		return
 	}
-	for _, w := range p.waiters {
-		w.granted <- grant{err: err}
+	var refused *DialRefused
+	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream {
+		p.grantLocked()
+		return
+	}
+	if t.open <= t.dialing {
+		p.failWaitersLocked(t, err)
 	}
-	p.waiters = nil
 }
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -259,8 +259,10 @@
 		return
 	}
 	p.recordAnswerLocked(now(), since(begunAt))
+	own := p.teamLocked("")
 	p.open++
-	c := p.newConn(opened)
+	own.open++
+	c := p.newConn(opened, own)
 	if p.closed || p.open > p.quota.limit {
 		p.closeLocked(c)
 		return
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/upstream"
 )
 
 const (
 	dialTimeout = time.Second
-	// surplusIdleTimeout is how long all unused connections but one stay
-	// open. Opening a new one costs the upstream 12 ms of a slot.
+	// surplusIdleTimeout is how long all unused connections but one of each
+	// team stay open. Opening a new one costs the upstream 12 ms of a slot.
 	surplusIdleTimeout = 3 * time.Second
 )
 
@@ -23,7 +26,8 @@
 type pool struct {
 	dialer Dialer
 	// relays is set if the connections lead through relays; see relayed.go.
-	relays Relays
+	relays  Relays
+	metrics tally.Scope
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -48,6 +52,10 @@
 	nextDialAt   time.Time
 	concurrency  concurrencyLimit
 	waiters      []*waiter
+	// teams holds the teams that share the connections, by name.
+	teams map[string]*poolTeam
+	// rounds and rankings number the calls of grantLocked and rankIdleLocked.
+	rounds, rankings uint64
 	// grantTimerSet is set while a timer is pending that calls grantLocked.
 	grantTimerSet bool
 
@@ -71,8 +79,21 @@
 
 // waiter is a statement that waits for a connection.
 type waiter struct {
-	urgency urgency
-	granted chan grant // buffers one
+	urgency  urgency
+	wanted   wanted
+	team     *poolTeam
+	queuedAt time.Time
+	granted  chan grant // buffers one
+	// passedIn is the last round of grants that could give it no connection.
+	passedIn uint64
+}
+
+// wanted says which connections serve a statement.
+type wanted struct {
+	team string
+	// any is set for commands that carry nothing of a caller: they may use the
+	// connection of any team.
+	any bool
 }
 
 // grant ends the wait of a statement, with a connection that counts as in
@@ -85,10 +106,18 @@
 // conn is a pooled connection and the session state that is set on it.
 type conn struct {
 	Conn
-	pool      *pool
+	pool *pool
+	// team is the one for which the connection was opened.
+	team      *poolTeam
+	usage     usage
 	values    map[string]string
 	prepared  map[string]bool
 	idleSince time.Time
+	// sessionTeam is the team of the session that a virtual connection served
+	// last. stale is set if another team has left values or prepared statements
+	// on it, which must be reset first.
+	sessionTeam string
+	stale       bool
 	// commands is the reused buffer of the commands that exchange sends.
 	commands []Command
 	// countedInFlight is set while the connection counts as in flight; the
@@ -102,6 +131,8 @@
 		siteUpstream: u,
 		quota:        quota,
 		concurrency:  newConcurrencyLimit(),
+		teams:        map[string]*poolTeam{},
+		metrics:      tally.NoopScope,
 		serviceTime:  float64(initialServiceTime / time.Millisecond),
 	}
 }
@@ -153,15 +184,21 @@
 	return p.siteUpstream.Id
 }
 
-// popIdleLocked returns an idle connection that is alive and counts it as in
-// flight; nil if there is none.
-func (p *pool) popIdleLocked() *conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+// popIdleLocked returns an idle connection of a team that is alive and counts it
+// as in flight; nil if there is none. With anyTeam it may be that of another team.
+func (p *pool) popIdleLocked(t *poolTeam, anyTeam bool) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.team != t && !anyTeam {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		c.team.idle--
 		if c.Alive() {
-			p.inFlight++
-			c.countedInFlight = true
+			p.beginInFlightLocked(c)
+			if !anyTeam {
+				c.recordUseLocked(now())
+			}
 			return c
 		}
 		p.closeLocked(c)
@@ -169,70 +206,60 @@
 	return nil
 }
 
-// grantLocked gives idle connections to waiting statements, the most urgent
-// first, as far as the concurrency limit allows, and dials connections for the
-// others. Dials run in goroutines of their own, so that a connection is kept
-// even if the statement that caused it stops waiting.
-func (p *pool) grantLocked() {
-	at := now()
-	p.scheduleGrantLocked(at)
-	for len(p.waiters) > 0 && p.concurrency.allows(p.inFlight, at) {
-		c := p.popIdleLocked()
-		if c == nil {
-			break
-		}
-		p.popWaiterLocked(at).granted <- grant{conn: c}
-	}
-	room := max(int(p.concurrency.limit), 1) - p.inFlight
-	if at.Before(p.nextDialAt) {
-		return
-	}
-	for p.dialing < min(len(p.waiters), room) && p.open < p.quota.limit && !p.closed {
-		p.open++
-		p.dialing++
-		go p.dial()
-	}
+// hasIdleLocked reports whether a waiter can use an idle connection.
+func (p *pool) hasIdleLocked(w *waiter) bool {
+	return w.team.idle > 0 || (w.wanted.any && len(p.idle) > 0)
 }
 
-// scheduleGrantLocked calls grantLocked again when the pauses after a decrease of
-// the concurrency limit and after a refused dial have passed. It need not if
-// statements are in flight, because grantLocked is called after each answer.
-func (p *pool) scheduleGrantLocked(at time.Time) {
-	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantTimerSet {
-		return
-	}
-	wait := p.nextDialAt.Sub(at)
-	if !p.concurrency.allows(0, at) {
-		wait = max(wait, p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt))
+func (p *pool) removeIdleLocked(c *conn) {
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+		c.team.idle--
 	}
-	if wait <= 0 {
-		return
+}
+
+func (p *pool) beginInFlightLocked(c *conn) {
+	c.countedInFlight = true
+	c.team.inFlight++
+	p.inFlight++
+}
+
+func (p *pool) addWaiterLocked(w *waiter) {
+	p.waiters = append(p.waiters, w)
+	w.team.waiting++
+}
+
+// removeWaiterLocked reports whether the waiter was in the queue.
+func (p *pool) removeWaiterLocked(w *waiter) bool {
+	i := slices.Index(p.waiters, w)
+	if i < 0 {
+		return false
 	}
-	p.grantTimerSet = true
-	time.AfterFunc(wait, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.grantTimerSet = false
-		p.grantLocked()
-	})
+	p.waiters = slices.Delete(p.waiters, i, i+1)
+	w.team.waiting--
+	return true
 }
 
-func (p *pool) popWaiterLocked(at time.Time) *waiter {
-	urgencies := make([]urgency, len(p.waiters))
-	for i, w := range p.waiters {
-		urgencies[i] = w.urgency
+// failWaitersLocked ends the wait of the statements of a team, or of all if t is
+// nil, with an error.
+func (p *pool) failWaitersLocked(t *poolTeam, err error) {
+	for _, w := range slices.Clone(p.waiters) {
+		if t == nil || w.team == t {
+			p.removeWaiterLocked(w)
+			w.granted <- grant{err: err}
+		}
 	}
-	next := mostUrgent(urgencies, at)
-	w := p.waiters[next]
-	p.waiters = append(p.waiters[:next], p.waiters[next+1:]...)
-	return w
 }
 
-// acquire returns a connection that counts as in flight, for new work of a caller.
-// It waits for one until maxWait has passed or ctx ends, or the upstream gets no new
+// acquire returns a connection that counts as in flight, for new work of a caller
+// of a team. It is one that was opened for that team. acquire waits for one until maxWait has passed or ctx ends, or the upstream gets no new
 // work any more. Its errors are *DialRefused, *fault.IO and *Refusal; nothing has run
 // after an error.
-func (p *pool) acquire(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
+func (p *pool) acquire(ctx context.Context, u urgency, team string, maxWait time.Duration) (*conn, error) {
+	return p.acquireForNewWork(ctx, u, wanted{team: team}, maxWait)
+}
+
+func (p *pool) acquireForNewWork(ctx context.Context, u urgency, want wanted, maxWait time.Duration) (*conn, error) {
 	remaining, limited := p.newWorkTime()
 	if limited {
 		if remaining <= 0 {
@@ -240,21 +267,26 @@
 		}
 		maxWait = min(maxWait, remaining)
 	}
-	return p.acquireForOwnCommand(ctx, u, maxWait)
+	return p.acquireConn(ctx, u, want, maxWait)
 }
 
 // acquireForOwnCommand is acquire for a command of the proxy's own, which an
-// upstream that leaves may get until it ends.
+// upstream that leaves may get until it ends. The connection may be that of any
+// team, so it must carry nothing of a caller.
 func (p *pool) acquireForOwnCommand(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
-	c, err := p.acquireConn(ctx, u, maxWait)
+	return p.acquireConn(ctx, u, wanted{any: true}, maxWait)
+}
+
+func (p *pool) acquireConn(ctx context.Context, u urgency, want wanted, maxWait time.Duration) (*conn, error) {
+	c, err := p.waitForConn(ctx, u, want, maxWait)
 	if err == nil {
-		c.takeTurn(u, maxWait)
+		c.takeTurn(u, want, maxWait)
 	}
 	return c, err
 }
 
-func (p *pool) acquireConn(ctx context.Context, u urgency, maxWait time.Duration) (*conn, error) {
-	c, w, err := p.acquireOrQueue(u)
+func (p *pool) waitForConn(ctx context.Context, u urgency, want wanted, maxWait time.Duration) (*conn, error) {
+	c, w, err := p.acquireOrQueue(u, want)
 	if w == nil {
 		return c, err
 	}
@@ -277,19 +309,20 @@
 
 // acquireOrQueue returns a connection if one is free and no statement waits, and
 // a queued waiter otherwise.
-func (p *pool) acquireOrQueue(u urgency) (*conn, *waiter, error) {
+func (p *pool) acquireOrQueue(u urgency, want wanted) (*conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, upstreamGone()
 	}
-	if len(p.waiters) == 0 && p.concurrency.allows(p.inFlight, now()) {
-		if c := p.popIdleLocked(); c != nil {
+	at, t := now(), p.teamLocked(want.team)
+	if len(p.waiters) == 0 && p.concurrency.allows(p.inFlight, at) {
+		if c := p.popIdleLocked(t, want.any); c != nil {
 			return c, nil, nil
 		}
 	}
-	w := &waiter{urgency: u, granted: make(chan grant, 1)}
-	p.waiters = append(p.waiters, w)
+	w := &waiter{urgency: u, wanted: want, team: t, queuedAt: at, granted: make(chan grant, 1)}
+	p.addWaiterLocked(w)
 	p.grantLocked()
 	return nil, w, nil
 }
@@ -308,11 +341,8 @@
 func (p *pool) cancelWait(w *waiter) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, other := range p.waiters {
-		if other == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return nil, &Refusal{Code: RefusedBusy, Reason: reasonNotGranted}
-		}
+	if p.removeWaiterLocked(w) {
+		return nil, &Refusal{Code: RefusedBusy, Reason: reasonNotGranted}
 	}
 	g := <-w.granted
 	return g.conn, g.err
@@ -323,11 +353,13 @@
 	p.endInFlightLocked(c)
 	c.idleSince = now()
 	p.idle = append(p.idle, c)
+	c.team.idle++
 }
 
 func (p *pool) endInFlightLocked(c *conn) {
 	if c.countedInFlight {
 		c.countedInFlight = false
+		c.team.inFlight--
 		p.inFlight--
 	}
 }
@@ -348,8 +380,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.countedInFlight {
-		c.countedInFlight = true
-		p.inFlight++
+		p.beginInFlightLocked(c)
 	}
 }
 
@@ -357,6 +388,7 @@
 func (p *pool) closeLocked(c *conn) {
 	p.endInFlightLocked(c)
 	p.open--
+	c.team.open--
 	// The connection is not used again, whether closing it fails or not.
 	_ = c.Close()
 }
@@ -397,6 +429,7 @@
 
 func (p *pool) closeAllIdleLocked() {
 	for _, c := range p.idle {
+		c.team.idle--
 		p.closeLocked(c)
 	}
 	p.idle = nil
@@ -410,27 +443,6 @@
 	p.discardLocked(c)
 }
 
-// closeIdle closes connections that were unused for a while. All but one are
-// closed early: when hosts lose power, an upstream goes on counting the
-// connections of their proxies against its limit until it has noticed the loss.
-func (p *pool) closeIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for i, c := range p.idle {
-		maxIdle := min(p.quota.idleTimeout, surplusIdleTimeout)
-		if i == len(p.idle)-1 {
-			maxIdle = p.quota.idleTimeout
-		}
-		if since(c.idleSince) < maxIdle {
-			kept = append(kept, c)
-			continue
-		}
-		p.closeLocked(c)
-	}
-	p.idle = kept
-}
-
 // close closes idle connections now, the others when they are released, and
 // ends the wait of all statements.
 func (p *pool) close() {
@@ -438,8 +450,5 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	p.closeAllIdleLocked()
-	for _, w := range p.waiters {
-		w.granted <- grant{err: upstreamGone()}
-	}
-	p.waiters = nil
+	p.failWaitersLocked(nil, upstreamGone())
 }
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -42,9 +42,9 @@
 	f := newFixture(t)
 	u := f.parts.Upstreams[0]
 	pl, _ := f.proxy.pool(u)
-	first, err := pl.acquire(context.Background(), highestUrgency(), time.Second)
+	first, err := pl.acquire(context.Background(), highestUrgency(), "", time.Second)
 	assert.NilError(t, err)
-	second, err := pl.acquire(context.Background(), highestUrgency(), time.Second)
+	second, err := pl.acquire(context.Background(), highestUrgency(), "", time.Second)
 	assert.NilError(t, err)
 	sentAt := now()
 	time.Sleep(time.Millisecond)
@@ -54,7 +54,7 @@
 	assert.Equal(t, len(pl.idle), 1)
 	assert.Equal(t, pl.unreachableFor(), time.Duration(0))
 
-	third, err := pl.acquire(context.Background(), highestUrgency(), time.Second)
+	third, err := pl.acquire(context.Background(), highestUrgency(), "", time.Second)
 	assert.NilError(t, err)
 	pl.discard(third, now(), nil)
 	assert.Equal(t, len(pl.idle), 0)
@@ -69,7 +69,7 @@
 	pl, _ := f.proxy.pool(f.parts.Upstreams[0])
 	var conns []*conn
 	for range 4 {
-		c, err := pl.acquire(context.Background(), highestUrgency(), time.Second)
+		c, err := pl.acquire(context.Background(), highestUrgency(), "", time.Second)
 		assert.NilError(t, err)
 		conns = append(conns, c)
 	}
@@ -95,7 +95,7 @@
 	for range 20 {
 		waiting.Go(func() {
 			for end := time.Now().Add(time.Second); time.Now().Before(end); {
-				_, err := pl.acquire(context.Background(), highestUrgency(), 100*time.Millisecond)
+				_, err := pl.acquire(context.Background(), highestUrgency(), "", 100*time.Millisecond)
 				assert.Check(t, err != nil)
 				time.Sleep(time.Millisecond)
 			}
@@ -105,7 +105,7 @@
 	refused := 0
 	f.group.update("p1", func(u *fakeUpstream) { refused, u.full = u.refused, false })
 	assert.Check(t, refused < 20, "%d dials in a second", refused)
-	c, err := pl.acquire(context.Background(), highestUrgency(), 2*time.Second)
+	c, err := pl.acquire(context.Background(), highestUrgency(), "", 2*time.Second)
 	assert.NilError(t, err, "the pool did not dial again")
 	pl.release(c)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -167,6 +167,7 @@
 func (p *Proxy) updatePool(key poolKey, u *pb.SiteUpstream, newWorkUntil time.Time, quota connectionQuota) {
 	if _, ok := p.pools[key]; !ok {
 		p.pools[key] = newPool(p.options.Dialer, u, quota)
+		p.pools[key].metrics = p.metrics
 	}
 	p.pools[key].update(u, newWorkUntil, quota)
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -99,7 +99,7 @@
 	if t.primary {
 		return s.readLatest(ctx, stmt, route, progress)
 	}
-	c, err := t.pool.acquire(ctx, s.urgency(route), queueTimeout)
+	c, err := t.pool.acquire(ctx, s.urgency(route), s.teamName(), queueTimeout)
 	if err != nil {
 		return s.readAcquireFailed(err, progress, t.upstream.Id)
 	}
@@ -195,7 +195,7 @@
 }
 
 func (s *Session) beginTransaction(ctx context.Context, pl *pool, stmt resolvedStatement, route *pb.SiteRoute, begin Command) (*conn, *attempt) {
-	c, err := pl.acquire(ctx, s.urgency(route), timeout(route))
+	c, err := pl.acquire(ctx, s.urgency(route), s.teamName(), timeout(route))
 	if err != nil {
 		a := acquireFailed(err)
 		return nil, &a
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -68,6 +68,9 @@
 	Expected time.Duration
 	// MaxWait is how long the commands may wait for a connection.
 	MaxWait time.Duration
+	// Team is the team whose connections may run the commands; empty for those
+	// that are opened in the proxy's own name.
+	Team string
 }
 
 // turnTaker is a Conn whose commands wait for a connection elsewhere.
@@ -76,18 +79,32 @@
 	TakeTurn(Turn)
 }
 
-func (c *conn) takeTurn(u urgency, maxWait time.Duration) {
+func (c *conn) takeTurn(u urgency, want wanted, maxWait time.Duration) {
 	taker, ok := c.Conn.(turnTaker)
 	if !ok {
 		return
 	}
-	turn := Turn{Target: u.target, Priority: u.priority, Expected: u.expected, MaxWait: maxWait}
+	if !want.any {
+		c.passToTeam(want.team)
+	}
+	turn := Turn{Target: u.target, Priority: u.priority, Expected: u.expected, MaxWait: maxWait, Team: want.team}
 	if !u.arrivedAt.IsZero() {
 		turn.Waited = now().Sub(u.arrivedAt)
 	}
 	taker.TakeTurn(turn)
 }
 
+// passToTeam prepares a virtual connection for a session of a team. What another
+// team has set or prepared is reset: names of prepared statements are hashes, and
+// a caller could look for one that means another team's.
+func (c *conn) passToTeam(team string) {
+	if c.sessionTeam == team {
+		return
+	}
+	c.sessionTeam = team
+	c.stale = c.stale || len(c.values) > 0 || len(c.prepared) > 0
+}
+
 func (t Turn) urgency() urgency {
 	return urgency{arrivedAt: now().Add(-t.Waited), target: t.Target, priority: t.Priority, expected: t.Expected}
 }
@@ -194,7 +211,9 @@
 // Run runs a group of commands and returns their answers. They may wait for a
 // connection as turn says, and then take up to timeout. If none was granted, all
 // answers carry CodeNoConnection or CodeUnreachable, and nothing has run. After an
-// error whether they ran is unknown, and an open transaction is rolled back.
+// error whether they ran is unknown, and an open transaction is rolled back. The
+// error is *TeamChanged, and nothing has run, if the open transaction is that of
+// another team.
 func (r *RelayedConn) Run(ctx context.Context, turn Turn, timeout time.Duration, commands []Command) ([]Answer, error) {
 	settings := r.applySettings(commands)
 	answers := make([]Answer, settings, len(commands))
@@ -205,7 +224,10 @@
 	if len(commands) == 0 {
 		return answers, nil
 	}
-	if err := r.bind(ctx, turn); err != nil {
+	if r.bound != nil && carriesCaller(commands) && r.bound.team.name != turn.Team {
+		return nil, &TeamChanged{Bound: r.bound.team.name, Team: turn.Team}
+	}
+	if err := r.bind(ctx, turn, commands); err != nil {
 		return append(answers, notConnected(err, len(commands))...), nil
 	}
 	run, err := r.exchange(timeout, commands)
@@ -215,8 +237,30 @@
 	return append(answers, run...), nil
 }
 
+// TeamChanged reports a command of one team in the transaction of another.
+type TeamChanged struct {
+	Bound, Team string
+}
+
+func (e *TeamChanged) Error() string {
+	return "relay: command of team " + e.Team + " in a transaction of team " + e.Bound
+}
+
+// carriesCaller reports whether commands carry a caller's statement, or open a
+// transaction in which one may follow.
+func carriesCaller(commands []Command) bool {
+	for _, c := range commands {
+		switch c.Kind {
+		case CommandBegin, CommandBeginRead, CommandRollback:
+		default:
+			return true
+		}
+	}
+	return commands[len(commands)-1].Kind != CommandRollback
+}
+
 // bind takes a connection from the pool unless a transaction holds one.
-func (r *RelayedConn) bind(ctx context.Context, turn Turn) error {
+func (r *RelayedConn) bind(ctx context.Context, turn Turn, commands []Command) error {
 	if r.bound != nil {
 		r.bound.pool.resume(r.bound)
 		return nil
@@ -225,7 +269,8 @@
 	if !ok {
 		return upstreamGone()
 	}
-	c, err := pl.acquire(ctx, turn.urgency(), turn.MaxWait)
+	want := wanted{team: turn.Team, any: !carriesCaller(commands)}
+	c, err := pl.acquireForNewWork(ctx, turn.urgency(), want, turn.MaxWait)
 	r.bound = c
 	return err
 }
--- a/proxy/relayed_test.go
+++ b/proxy/relayed_test.go
@@ -43,3 +43,30 @@
 		assert.Equal(t, openConnections(f), 0)
 	})
 }
+
+// Guards against a team that runs another team's prepared statement under the same
+// name, or with its session values, on a virtual connection that both have used: the
+// names of prepared statements are hashes, which a caller could collide.
+func TestVirtualConnectionIsResetForAnotherTeam(t *testing.T) {
+	c := &conn{values: map[string]string{"caller": "x"}, prepared: map[string]bool{"w1": true}}
+	c.passToTeam("x")
+	values := map[string]string{"caller": "x"}
+	assert.DeepEqual(t, setValues(c, values), []Command{{Kind: CommandReset}, {Kind: CommandSet, Name: "caller", Value: "x"}})
+	assert.Equal(t, len(c.prepared), 0)
+	c.prepared["w1"] = true
+	c.passToTeam("x")
+	assert.Equal(t, len(setValues(c, values)), 0, "a session of the same team needs no reset")
+	c.passToTeam("y")
+	c.passToTeam("x")
+	assert.DeepEqual(t, setValues(c, values)[0], Command{Kind: CommandReset})
+}
+
+// Guards against own commands that open a connection at a relay, and against a
+// caller's transaction that begins on a connection of another team.
+func TestOnlyOwnCommandsMayUseConnectionsOfAllTeams(t *testing.T) {
+	begin, rollback, forward := Command{Kind: CommandBegin}, Command{Kind: CommandRollback}, Command{Kind: CommandForward}
+	assert.Equal(t, carriesCaller([]Command{begin, rollback}), false)
+	assert.Equal(t, carriesCaller([]Command{begin}), true)
+	assert.Equal(t, carriesCaller([]Command{begin, forward, rollback}), true)
+	assert.Equal(t, carriesCaller([]Command{forward, rollback}), true)
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -21,6 +21,7 @@
 type Session struct {
 	proxy    *Proxy
 	database string
+	team     string
 
 	values   map[string]string
 	prepared map[string]preparedStatement
@@ -48,6 +49,7 @@
 	return &Session{
 		proxy:    p,
 		database: database,
+		team:     key, // placeholder until keys are looked up in the view
 		values:   map[string]string{},
 		prepared: map[string]preparedStatement{},
 		state:    StateIdle,
@@ -196,10 +198,16 @@
 // to the given ones. A value that these lack can only be cleared together with all
 // others.
 func setValues(c *conn, values map[string]string) []Command {
+	var commands []Command
+	if c.stale {
+		commands = append(commands, Command{Kind: CommandReset})
+		clear(c.values)
+		clear(c.prepared)
+		c.stale = false
+	}
 	if maps.Equal(c.values, values) {
-		return nil
+		return commands
 	}
-	var commands []Command
 	for name := range c.values {
 		if _, ok := values[name]; !ok {
 			commands = append(commands, Command{Kind: CommandReset})
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return retry(reasonNoPrimary, jitter(noPrimaryBackoff))
 	}
-	c, err := pl.acquire(ctx, s.urgency(route), timeout(route))
+	c, err := pl.acquire(ctx, s.urgency(route), s.teamName(), timeout(route))
 	if err != nil {
 		return acquireFailed(err)
 	}
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,6 +37,8 @@
 	runs           map[string]int // by request, without those rolled back
 	mixed          []string       // statements that ran with another session's state
 	commandDelay   time.Duration
+	lostShare      float64         // of the commands, whose connection is lost before or after they run
+	teams          map[string]bool // for which connections were opened
 }
 
 // fakeProxy is one proxy with its relay server, which a test can stop.
@@ -53,7 +58,7 @@
 }
 
 func newFakeSite(t testing.TB, proxies, maxConnections int) *fakeSite {
-	s := &fakeSite{t: t, maxConnections: maxConnections, open: map[string]int{}, runs: map[string]int{}, offset: 100, commandDelay: time.Millisecond}
+	s := &fakeSite{t: t, maxConnections: maxConnections, open: map[string]int{}, runs: map[string]int{}, teams: map[string]bool{}, offset: 100, commandDelay: time.Millisecond}
 	s.parts.Config = &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: uint32(maxConnections)}}}
 	for database, freshness := range map[string]pb.Freshness{"latest": pb.Freshness_FRESHNESS_LATEST, "bounded": pb.Freshness_FRESHNESS_BOUNDED} {
 		s.parts.Config.Routes = append(s.parts.Config.Routes, &pb.SiteRoute{
@@ -148,7 +153,7 @@
 // fakeConn is a connection to an upstream.
 type fakeConn struct {
 	site     *fakeSite
-	id       string
+	id, team string
 	state    proxy.TransactionState
 	values   map[string]string
 	prepared map[string]string
@@ -158,7 +163,7 @@
 }
 
 // Dial implements proxy.Dialer.
-func (p *fakeProxy) Dial(_ context.Context, u *pb.SiteUpstream, _ string) (proxy.Conn, error) {
+func (p *fakeProxy) Dial(_ context.Context, u *pb.SiteUpstream, team string) (proxy.Conn, error) {
 	p.mu.Lock()
 	unreachable := p.unreachable == u.Id
 	p.mu.Unlock()
@@ -174,7 +179,8 @@
 	}
 	s.open[u.Id]++
 	s.dials++
-	return &fakeConn{site: s, id: u.Id, state: proxy.StateIdle, values: map[string]string{}, prepared: map[string]string{}}, nil
+	s.teams[team] = true
+	return &fakeConn{site: s, id: u.Id, team: team, state: proxy.StateIdle, values: map[string]string{}, prepared: map[string]string{}}, nil
 }
 
 func (c *fakeConn) Alive() bool { return true }
@@ -190,11 +196,24 @@
 	c.answers = c.answers[:0]
 	for _, command := range commands {
 		time.Sleep(c.site.commandDelay)
+		share, lost := c.site.shareOfLost(), rand.Float64()
+		if lost < share/2 {
+			return nil, &fault.IO{Op: "read", Err: io.ErrUnexpectedEOF}
+		}
 		c.answers = append(c.answers, c.run(command))
+		if lost < share {
+			return nil, &fault.IO{Op: "read", Err: io.ErrUnexpectedEOF}
+		}
 	}
 	return c.answers, nil
 }
 
+func (s *fakeSite) shareOfLost() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lostShare
+}
+
 func (c *fakeConn) run(command proxy.Command) proxy.Answer {
 	s := c.site
 	s.mu.Lock()
@@ -223,13 +242,19 @@
 }
 
 // forward runs a caller's statement. A statement whose text is "WRITE" followed by
-// a caller's name must find that caller's value set.
+// a caller's name must find that caller's value set. The part of the name before a
+// colon is the caller's team, and that of a prepared shape the team that prepared it.
 func (c *fakeConn) forward(command proxy.Command) proxy.Code {
 	st, s := command.Statement, c.site
 	var caller string
 	if _, err := fmt.Sscanf(st.Text, "WRITE %s", &caller); err == nil && c.values["caller"] != caller {
 		s.mixed = append(s.mixed, fmt.Sprintf("%s ran with %v", st.ID, maps.Clone(c.values)))
 	}
+	for _, name := range []string{caller, c.prepared[command.Name]} {
+		if team, _, ok := strings.Cut(name, ":"); ok && team != c.team {
+			s.mixed = append(s.mixed, fmt.Sprintf("%s of team %s ran on a connection of %q", st.ID, team, c.team))
+		}
+	}
 	switch {
 	case st.Kind == proxy.KindExecute && c.prepared[command.Name] == "":
 		return proxy.CodeNoStatement
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -107,6 +107,7 @@
 		Priority: r.Priority,
 		Expected: duration(r.ExpectedMs),
 		MaxWait:  duration(r.WaitMs),
+		Team:     r.Team,
 	}
 }
 
@@ -118,6 +119,7 @@
 		TargetMs:   milliseconds(turn.Target),
 		Priority:   turn.Priority,
 		ExpectedMs: milliseconds(turn.Expected),
+		Team:       turn.Team,
 	}
 	for _, c := range commands {
 		r.Commands = append(r.Commands, commandToWire(c))
--- a/relay/server.go
+++ b/relay/server.go
@@ -191,6 +191,10 @@
 	}
 	response := &pb.RelayResponse{}
 	answers, err := c.run(ctx, request, commands)
+	var changed *proxy.TeamChanged
+	if errors.As(err, &changed) {
+		return connect.NewError(connect.CodeInvalidArgument, changed)
+	}
 	if err != nil {
 		c.server.metrics.Counter("connections_lost_total").Inc(1)
 		c.server.log.Warn("connection to an upstream was lost while a command was relayed", "request", request.Commands[len(request.Commands)-1].Request, "error", err)
