A team that floods an upstream's queue leaves the others their part

Change: if the most urgent waiter's team has its part in flight, one of equal standing (can meet its target, priority) goes first whose team has less. The part is by what teams sent lately (half-life 3 min), at least one statement; the rule does nothing unless several teams wait.

--- a/proxy/grant.go
+++ b/proxy/grant.go
@@ -43,7 +43,7 @@
 	if len(eligible) == 0 {
 		return false
 	}
-	w := p.mostUrgentLocked(eligible, r.at)
+	w := p.nextWaiterLocked(eligible, total, r.at)
 	if p.hasIdleLocked(w) {
 		if !p.concurrency.allows(p.inFlight+r.reserved, r.at) {
 			return false
