Sites with more teams than connections for each proxy use relays

Cause: a proxy with four connections to an upstream (15 proxies, 71 connections) closes the connection of one team for another's all the time; the threshold for relays counted proxies only.

Change: needRelays compares a proxy's part with the number of teams, if there are more than four. View.TeamCount holds that number.

Sites without teams, or with up to four, choose as before.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -133,7 +133,7 @@
 	defer p.mu.Unlock()
 	inView, relayed := make(map[poolKey]bool), make(map[poolKey]bool)
 	for _, g := range v.Groups() {
-		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && needRelays(g.MaxConnections, v.Proxies)
+		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && needRelays(g.MaxConnections, v.Proxies, v.TeamCount)
 		homeID := p.homeReplica(g)
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -65,9 +65,10 @@
 }
 
 // needRelays reports whether there are too few connections for each proxy to keep
-// its own.
-func needRelays(connections, proxies int) bool {
-	return shareOf(connections, proxies) < relayThreshold
+// its own. With fewer connections than teams a proxy would close the connection of
+// one team for another's all the time; a relay keeps one for more teams.
+func needRelays(connections, proxies, teams int) bool {
+	return shareOf(connections, proxies) < max(relayThreshold, teams)
 }
 
 // equalQuota divides the connections of an upstream equally among the proxies.
--- a/proxy/teamconns_test.go
+++ b/proxy/teamconns_test.go
@@ -302,3 +302,18 @@
 	assert.Check(t, openedForSingle <= 230)
 	assert.Check(t, openedForMixed <= 150)
 }
+
+// Guards against proxies that dial for themselves and close the connection of one
+// team for another's all the time, on a site with a handful of connections for each
+// proxy, and against relays where they are not needed.
+func TestSmallSiteWithTeamsUsesRelays(t *testing.T) {
+	const proxies, dataCentres, connections, teams = 15, 3, 71, 20
+	assert.Equal(t, needRelays(connections, proxies, teams), true)
+	assert.Equal(t, needRelays(connections, proxies, 3), false)
+	assert.Equal(t, needRelays(connections, proxies, 0), false)
+	relay := zipfLoad{teams: teams, perSecond: 5, limit: relayQuota(connections, dataCentres).limit}
+	alone := zipfLoad{teams: teams, perSecond: relay.perSecond * dataCentres / proxies, limit: equalQuota(connections, proxies).limit}
+	throughRelay, direct := relay.opened(t), alone.opened(t)
+	t.Logf("connections for 1,000 statements: %.0f through a relay, %.0f from each proxy", throughRelay, direct)
+	assert.Check(t, throughRelay*4 < direct)
+}
--- a/site/view.go
+++ b/site/view.go
@@ -20,6 +20,8 @@
 	TransactionIdle time.Duration
 	// Proxies is how many proxies share the upstreams, at least 1.
 	Proxies int
+	// TeamCount is how many teams the configuration has.
+	TeamCount int
 	// ControlHosts are the internal addresses of the control hosts.
 	ControlHosts []string
 	// Relays are the proxies of the proxy's own data centre, which relay
@@ -91,6 +93,7 @@
 		ConfigVersion:   p.Config.GetVersion(),
 		TransactionIdle: time.Duration(p.Config.GetTransactionIdleMs()) * time.Millisecond,
 		Proxies:         max(p.Proxies, 1),
+		TeamCount:       len(p.Config.GetTeams()),
 		ControlHosts:    p.ControlHosts,
 		Relays:          p.Relays,
 
