--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -70,7 +70,7 @@
 func TestRelayTellsTheLoadOfAllProxies(t *testing.T) {
 	pl := newRelayedPool(struct{ Relays }{}, &pb.SiteUpstream{Id: "r1"})
 	at := now()
-	c := &conn{pool: pl, Conn: &reportingConn{load: Load{Outstanding: 9, Limit: 3}, at: at}}
+	c := pl.newConn(&reportingConn{load: Load{Outstanding: 9, Limit: 3}, at: at}, pl.teamLocked(""))
 	c.recordLoad()
 	pl.resume(c) // one more statement, after the figure
 	known := pl.estimate(upstream.Position{}).known
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -142,7 +142,7 @@
 	defer p.mu.Unlock()
 	inView, relayed := make(map[poolKey]bool), make(map[poolKey]bool)
 	for _, g := range v.Groups() {
-		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && needRelays(g.MaxConnections, v.Proxies)
+		useRelays := p.options.Relays != nil && len(v.Relays) > 0 && needRelays(g.MaxConnections, v.Proxies, v.TeamCount)
 		homeID := p.homeReplica(g)
 		for _, u := range g.Upstreams {
 			key := keyOf(u)
@@ -178,6 +178,7 @@
 func (p *Proxy) updatePool(key poolKey, u *pb.SiteUpstream, newWorkUntil time.Time, quota connectionQuota) {
 	if _, ok := p.pools[key]; !ok {
 		p.pools[key] = newPool(p.options.Dialer, u, quota)
+		p.pools[key].metrics = p.metrics
 	}
 	p.pools[key].update(u, newWorkUntil, quota)
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -212,10 +212,16 @@
 // to the given ones. A value that these lack can only be cleared together with all
 // others.
 func setValues(c *conn, values map[string]string) []Command {
+	var commands []Command
+	if c.stale {
+		commands = append(commands, Command{Kind: CommandReset})
+		clear(c.values)
+		clear(c.prepared)
+		c.stale = false
+	}
 	if maps.Equal(c.values, values) {
-		return nil
+		return commands
 	}
-	var commands []Command
 	for name := range c.values {
 		if _, ok := values[name]; !ok {
 			commands = append(commands, Command{Kind: CommandReset})
--- a/relay/server.go
+++ b/relay/server.go
@@ -191,6 +191,10 @@
 		commands[i] = commandFromWire(w)
 	}
 	answers, err := c.run(ctx, request, commands)
+	var changed *proxy.TeamChanged
+	if errors.As(err, &changed) {
+		return connect.NewError(connect.CodeInvalidArgument, changed)
+	}
 	load := c.relayed.Load()
 	response := &pb.RelayResponse{Outstanding: uint32(load.Outstanding), LimitHundredths: uint32(100 * load.Limit)}
 	if err != nil {
