Ask whether a team's limit admits an operation before it is sent

Change: proxy.Options.Limits is asked once for each operation of a team with a limit, at a single statement or at the first statement of a transaction. Otherwise it is refused at once as not run, with a time to come back. Result: go test ./proxy -run 'TestOperation|TestTeams' ok; red if a transaction that is opened again is counted again.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -42,7 +42,7 @@
 )
 
 // Options are the settings and dependencies that New builds a Proxy from.
-// Regions, Positions, Relays, Log and Metrics are optional.
+// Regions, Positions, Relays, Limits, Log and Metrics are optional.
 type Options struct {
 	// Name is unique among the proxies of a site. The proxies are spread over
 	// the replicas by a hash of their names.
@@ -57,6 +57,9 @@
 	// Relays leads to upstreams that accept too few connections for each
 	// proxy. If it is nil, the proxy always dials upstreams itself.
 	Relays Relays
+	// Limits admits the operations of teams that have a limit. If it is nil, all
+	// are admitted.
+	Limits Limits
 	// LeavingPeriod is how long an upstream may get new work after the
 	// acknowledgement of its announcement that it leaves. The default is
 	// defaultLeavingPeriod.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/site"
 	"lovageslip/upstream"
 )
 
@@ -21,6 +22,8 @@
 type Session struct {
 	proxy    *Proxy
 	database string
+	// team is that of the caller, or nil.
+	team *site.Team
 
 	values   map[string]string
 	prepared map[string]preparedStatement
@@ -67,7 +70,7 @@
 	reply.State = s.state
 	if r := reply.Refusal; r != nil {
 		s.proxy.countRefusal(r)
-		s.proxy.log.Info("statement refused", "request", st.ID, "database", s.database, "reason", r.Reason,
+		s.proxy.log.Info("statement refused", "request", st.ID, "database", s.database, "team", s.teamName(), "reason", r.Reason,
 			"retry_after", r.RetryAfter, "state", string(rune(s.state)), "view", s.proxy.View().Index)
 	}
 	return reply
@@ -164,11 +167,14 @@
 		return s.runInTransaction(ctx, stmt)
 	case !ok:
 		return refuse(RefusedNoDatabase, "no_database")
-	case stmt.readOnly:
+	}
+	if refusal := s.admit(ctx); refusal != nil {
+		return Reply{Refusal: refusal}
+	}
+	if stmt.readOnly {
 		return s.runRead(ctx, stmt, route)
-	default:
-		return s.runWrite(ctx, stmt, route)
 	}
+	return s.runWrite(ctx, stmt, route)
 }
 
 // setUp returns the commands that give a connection the session's values and the
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -15,7 +15,9 @@
 	route     *pb.SiteRoute
 	conn      *conn // nil before bind and after the end at the upstream
 	atPrimary bool
-	hasRun    bool
+	// admitted is set once the limit of the caller's team has let it pass.
+	admitted bool
+	hasRun   bool
 	// upstreamTime is the time that its statements have taken at the
 	// upstream.
 	upstreamTime time.Duration
@@ -102,6 +104,13 @@
 		return &reply
 	}
 	tx.route = route
+	if !tx.admitted {
+		if refusal := s.admit(ctx); refusal != nil {
+			s.state = StateFailed
+			return &Reply{Refusal: refusal}
+		}
+		tx.admitted = true
+	}
 	progress := &readProgress{}
 	reply := s.retryUntilFinal(ctx, stmt.statement, func() attempt { return s.bindOnce(ctx, stmt, progress) })
 	if tx.conn != nil {
--- a/site/view.go
+++ b/site/view.go
@@ -29,6 +29,8 @@
 
 	leavingNotBefore map[string]time.Time
 
+	teamsByName map[string]*Team
+
 	routes map[string]*pb.SiteRoute
 	groups map[string]*GroupView
 	sorted []*GroupView // by name
@@ -96,6 +98,8 @@
 
 		leavingNotBefore: p.LeavingNotBefore,
 
+		teamsByName: teamsByName(p.Config.GetTeams()),
+
 		routes: make(map[string]*pb.SiteRoute),
 		groups: make(map[string]*GroupView),
 	}
