Count a team's operations at one proxy of each data centre

Cause: proxies that each count for themselves either refuse too much or admit too much. Change: relay.Limits asks the counter of a team, chosen like a relay among the same proxies. A leaving counter says so and asks others itself.

--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -42,6 +42,7 @@
 	name   string
 	site   *fakeSite
 	client *Client
+	limits *Limits
 	server *Server
 	http   *httptest.Server
 
@@ -79,7 +80,9 @@
 	p := &fakeProxy{name: name, site: s}
 	p.client = NewClient(Options{Name: name, Dialer: p, HTTPClient: NewHTTPClient()})
 	p.Proxy = proxy.New(proxy.Options{Name: name, DataCentre: "here", Regions: map[string]string{"here": "region"}, Dialer: p, Relays: p.client})
+	p.limits = NewLimits(LimitsOptions{Client: p.client, View: p.View})
 	p.server = NewServer(p.Proxy, nil, nil)
+	p.server.CountWith(p.limits)
 	path, handler := p.server.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,6 +23,7 @@
 // connections of its own proxy. It is safe for concurrent use.
 type Server struct {
 	proxy   *proxy.Proxy
+	limits  *Limits // nil if this proxy counts for no others
 	log     *slog.Logger
 	metrics tally.Scope
 
@@ -59,7 +60,12 @@
 
 // Leave tells the other proxies to use another relay. Streams stay open. It must
 // be called once, before Close.
-func (s *Server) Leave() { close(s.leaving) }
+func (s *Server) Leave() {
+	close(s.leaving)
+	if s.limits != nil {
+		s.limits.leave()
+	}
+}
 
 // Close ends the streams without a transaction, each once its request is answered.
 // It must be called once, before CloseTransactions.
@@ -98,11 +104,6 @@
 	return connect.NewResponse(response), nil
 }
 
-// Admit implements RelayService.
-func (s *Server) Admit(_ context.Context, r *connect.Request[pb.AdmitRequest]) (*connect.Response[pb.AdmitResponse], error) {
-	return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
-}
-
 // Connect implements RelayService.
 func (s *Server) Connect(ctx context.Context, stream *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
