--- a/proxy/session.go
+++ b/proxy/session.go
@@ -78,7 +78,7 @@
 	reply.State = s.state
 	if r := reply.Refusal; r != nil {
 		s.proxy.countRefusal(r)
-		s.proxy.log.Info("statement refused", "request", st.ID, "database", s.database, "reason", r.Reason,
+		s.proxy.log.Info("statement refused", "request", st.ID, "database", s.database, "team", s.teamName(), "reason", r.Reason,
 			"retry_after", r.RetryAfter, "state", string(rune(s.state)), "view", s.proxy.View().Index)
 	}
 	return reply
@@ -180,11 +180,14 @@
 		return s.runInTransaction(ctx, stmt)
 	case !ok:
 		return refuse(RefusedNoDatabase, reasonNoDatabase)
-	case stmt.readOnly:
+	}
+	if refusal := s.admit(ctx); refusal != nil {
+		return Reply{Refusal: refusal}
+	}
+	if stmt.readOnly {
 		return s.runRead(ctx, stmt, route)
-	default:
-		return s.runWrite(ctx, stmt, route)
 	}
+	return s.runWrite(ctx, stmt, route)
 }
 
 // setUp returns the commands that give a connection the session's values and the
