Reads that take long get more time, and a search for a relay waits for the check

Each cut counted as a failure of the upstream, so that proxies looked for another relay at once, and each one asked kept the connection it had opened to find out.

Change: the timeout of a read doubles with each lost connection; a search begins after an upstream has failed for 500 ms; probes close their connections; reads of teams wait for a connection as long as opening one takes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -184,12 +184,16 @@
 	}
 }
 
-// readTimeout returns how long a read is given at one upstream.
-func readTimeout(pl *pool, route *pb.SiteRoute) time.Duration {
+// readTimeout returns how long a read is given at one upstream. It doubles with each
+// connection that was lost: a read that takes long does so at every upstream.
+func readTimeout(pl *pool, route *pb.SiteRoute, progress *readProgress) time.Duration {
 	expected := readTimeoutFactor * pl.estimate(upstream.Position{}).wait
-	return min(max(expected, minReadTimeout), timeout(route))
+	return min(max(expected, minReadTimeout)<<min(progress.lost, maxReadTimeoutShift), timeout(route))
 }
 
+// maxReadTimeoutShift bounds the doubling well above any timeout of a route.
+const maxReadTimeoutShift = 8
+
 func (p *Proxy) countRefusal(r *Refusal) {
 	p.metrics.Tagged(map[string]string{"reason": r.Reason}).Counter("refused_total").Inc(1)
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -15,6 +15,8 @@
 type readProgress struct {
 	excluded map[string]bool // nil until an upstream is excluded
 	reruns   int
+	// lost counts the attempts whose connection was lost, or timed out.
+	lost int
 }
 
 func (p *readProgress) exclude(id string) {
@@ -99,14 +101,14 @@
 	if t.primary {
 		return s.readLatest(ctx, stmt, route, progress)
 	}
-	c, err := t.pool.acquire(ctx, s.urgency(route), s.teamName(), queueTimeout)
+	c, err := t.pool.acquire(ctx, s.urgency(route), s.teamName(), s.queueTimeout())
 	if err != nil {
 		return s.readAcquireFailed(err, progress, t.upstream.Id)
 	}
 	command := stmt.command()
 	command.MinPosition = t.minPosition
 	sentAt := now()
-	answers, err := exchange(c, time.Now().Add(readTimeout(t.pool, route)), s.setUp(c, stmt), command)
+	answers, err := exchange(c, time.Now().Add(readTimeout(t.pool, route, progress)), s.setUp(c, stmt), command)
 	if err == nil && answers[0].Code == CodeNone {
 		t.pool.recordCaughtUp()
 	}
@@ -115,9 +117,22 @@
 	return a
 }
 
-// queueTimeout is how long a read waits for a connection to one upstream before
-// it chooses again.
-const queueTimeout = 60 * time.Millisecond
+const (
+	// queueTimeout is how long a read waits for a connection to one upstream
+	// before it chooses again.
+	queueTimeout = 60 * time.Millisecond
+	// teamConnectTime is added where a connection serves one team only, so that
+	// one must often be opened first: two round trips between regions and 12 ms.
+	teamConnectTime = 100 * time.Millisecond
+)
+
+// queueTimeout returns how long a read of this session waits for a connection.
+func (s *Session) queueTimeout() time.Duration {
+	if s.team == nil {
+		return queueTimeout
+	}
+	return queueTimeout + teamConnectTime
+}
 
 // readAcquireFailed excludes an upstream that gave no connection from the next
 // choice. If the read only waited too long for one, the upstream stays eligible,
@@ -137,6 +152,7 @@
 func (s *Session) finishRead(c *conn, stmt resolvedStatement, progress *readProgress, sentAt time.Time, answers []Answer, err error) attempt {
 	if err != nil {
 		c.pool.discard(c, sentAt, err)
+		progress.lost++
 		progress.exclude(c.pool.id())
 		return retry(reasonConnectionLost, 0)
 	}
@@ -174,7 +190,7 @@
 		return retryLeaving()
 	}
 	sentAt := now()
-	answers, err := exchange(c, time.Now().Add(readTimeout(c.pool, route)), nil, stmt.command(), Command{Kind: CommandRollback})
+	answers, err := exchange(c, time.Now().Add(readTimeout(c.pool, route, progress)), nil, stmt.command(), Command{Kind: CommandRollback})
 	if err == nil && answers[0].Code == CodeNone {
 		s.proxy.group(route.Group).positions.add(answers[0].Position, sentAt)
 	}
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -187,7 +187,7 @@
 	reached := err == nil && reachability == Reachable
 	if err == nil && reachability == Unreachable {
 		p.recordFailedFor(failedFor)
-		reached, err = p.lookAround(u)
+		reached, err = p.lookAround(u, failedFor >= searchAfter)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -202,15 +202,17 @@
 	}
 }
 
-// lookAround finds out whether this proxy or another one reaches an upstream that the
-// relay does not reach. Both are tried at once, because a host that is cut off doesn't
-// answer until the timeout.
-func (p *pool) lookAround(u *pb.SiteUpstream) (reached bool, err error) {
+// lookAround finds out whether this proxy or, with search, another one reaches an
+// upstream that the relay does not reach. Both are tried at once, because a host that
+// is cut off doesn't answer until the timeout.
+func (p *pool) lookAround(u *pb.SiteUpstream, search bool) (reached bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	var others conc.WaitGroup
 	found := false
-	others.Go(func() { found = p.relays.FindRelay(ctx, u) })
+	if search {
+		others.Go(func() { found = p.relays.FindRelay(ctx, u) })
+	}
 	err = p.tryDirectly(ctx, u)
 	others.Wait()
 	switch {
@@ -288,7 +290,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	pl.check(ctx)
+	pl.probe(ctx)
 }
 
 // Reachability returns what this proxy knows of its connections to a process of an
--- a/proxy/substitute.go
+++ b/proxy/substitute.go
@@ -19,6 +19,11 @@
 // trips of up to 40 ms and 12 ms of a slot.
 const probeTimeout = 200 * time.Millisecond
 
+// searchAfter is how long an upstream must have failed before another relay is looked
+// for. A failure may be one statement that took too long; the relay's own check, which
+// follows within 100 ms and takes up to checkTimeout, then finds the upstream well.
+const searchAfter = 500 * time.Millisecond
+
 // substituteQuota returns the quota of a proxy that relays in the place of a relay
 // which other proxies may still use. Both together stay within one and a half times
 // the share of a data centre.
@@ -58,11 +63,30 @@
 	return true
 }
 
+// probe connects to the upstream and closes the connection again: many proxies may be
+// asked, and their connections would take the room of the relay's.
+func (p *pool) probe(ctx context.Context) {
+	begunAt := now()
+	opened, err := p.dialer.Dial(ctx, p.record(), "")
+	if err == nil {
+		// Nothing was sent on the connection, so an error of Close loses nothing.
+		_ = opened.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checking = false
+	if err != nil {
+		p.recordDialFailureLocked(err)
+		return
+	}
+	p.recordAnswerLocked(now(), since(begunAt))
+}
+
 // checkUpstream checks an upstream that stalled or failed. If this proxy is the relay
 // and does not reach the upstream, another proxy may.
 func (p *Proxy) checkUpstream(ctx context.Context, pl *pool) {
 	pl.check(ctx)
-	if pl.relays != nil || p.options.Relays == nil || pl.unreachableFor() == 0 {
+	if pl.relays != nil || p.options.Relays == nil || pl.unreachableFor() < searchAfter {
 		return
 	}
 	u := pl.record()
