--- a/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
+++ b/gen/lovageslip/v1/lovageslipv1connect/site.connect.go
@@ -43,6 +43,8 @@
 	SiteServicePositionsProcedure = "/lovageslip.v1.SiteService/Positions"
 	// SiteServiceJoinProcedure is the fully-qualified name of the SiteService's Join RPC.
 	SiteServiceJoinProcedure = "/lovageslip.v1.SiteService/Join"
+	// SiteServiceAdmitProcedure is the fully-qualified name of the SiteService's Admit RPC.
+	SiteServiceAdmitProcedure = "/lovageslip.v1.SiteService/Admit"
 )
 
 // SiteServiceClient is a client for the lovageslip.v1.SiteService service.
@@ -64,6 +66,9 @@
 	// The leader decides. Any other host passes the call on to the leader if it
 	// knows one, and otherwise names the members that it knows.
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
+	// Admit grants operations of a team to a data centre, out of the team's limit for
+	// the whole site. Proxies ask one of the control hosts for each team.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewSiteServiceClient constructs a client for the lovageslip.v1.SiteService service. By default,
@@ -107,6 +112,12 @@
 			connect.WithSchema(siteServiceMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		admit: connect.NewClient[v1.AdmitRequest, v1.AdmitResponse](
+			httpClient,
+			baseURL+SiteServiceAdmitProcedure,
+			connect.WithSchema(siteServiceMethods.ByName("Admit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -117,6 +128,7 @@
 	report    *connect.Client[v1.ReportRequest, v1.ReportResponse]
 	positions *connect.Client[v1.PositionsRequest, v1.PositionsResponse]
 	join      *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	admit     *connect.Client[v1.AdmitRequest, v1.AdmitResponse]
 }
 
 // Watch calls lovageslip.v1.SiteService.Watch.
@@ -144,6 +156,11 @@
 	return c.join.CallUnary(ctx, req)
 }
 
+// Admit calls lovageslip.v1.SiteService.Admit.
+func (c *siteServiceClient) Admit(ctx context.Context, req *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return c.admit.CallUnary(ctx, req)
+}
+
 // SiteServiceHandler is an implementation of the lovageslip.v1.SiteService service.
 type SiteServiceHandler interface {
 	// Watch streams the state of the site to a proxy: first the whole state, then
@@ -163,6 +180,9 @@
 	// The leader decides. Any other host passes the call on to the leader if it
 	// knows one, and otherwise names the members that it knows.
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
+	// Admit grants operations of a team to a data centre, out of the team's limit for
+	// the whole site. Proxies ask one of the control hosts for each team.
+	Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error)
 }
 
 // NewSiteServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -202,6 +222,12 @@
 		connect.WithSchema(siteServiceMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siteServiceAdmitHandler := connect.NewUnaryHandler(
+		SiteServiceAdmitProcedure,
+		svc.Admit,
+		connect.WithSchema(siteServiceMethods.ByName("Admit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lovageslip.v1.SiteService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SiteServiceWatchProcedure:
@@ -214,6 +240,8 @@
 			siteServicePositionsHandler.ServeHTTP(w, r)
 		case SiteServiceJoinProcedure:
 			siteServiceJoinHandler.ServeHTTP(w, r)
+		case SiteServiceAdmitProcedure:
+			siteServiceAdmitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -242,3 +270,7 @@
 func (UnimplementedSiteServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Join is not implemented"))
 }
+
+func (UnimplementedSiteServiceHandler) Admit(context.Context, *connect.Request[v1.AdmitRequest]) (*connect.Response[v1.AdmitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lovageslip.v1.SiteService.Admit is not implemented"))
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -17,6 +17,13 @@
 // Fixed returns a share that doesn't change.
 func Fixed(part float64) Share { return Share{Part: part, Settling: part} }
 
+// Times returns a part of the share.
+func (s Share) Times(part float64) Share {
+	s.Part *= part
+	s.Settling *= part
+	return s
+}
+
 // seconds returns the time between two times, weighted with the part of the rate.
 func (s Share) seconds(from, to time.Time) float64 {
 	if !to.After(from) {
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -42,14 +42,18 @@
 	// Client knows the other proxies of the data centre.
 	Client *Client
 	// View returns this proxy's view of the site.
-	View    func() *site.View
-	Quota   quota.Options
+	View  func() *site.View
+	Quota quota.Options
+	// AskSite asks control hosts, which count for the whole site. If it is nil,
+	// each data centre has a fixed share of each limit.
+	AskSite AskSite
 	Log     *slog.Logger
 	Metrics tally.Scope
 }
 
 // Limits implements proxy.Limits. One proxy of the data centre counts the operations
-// of a team, the same that would be the relay of an upstream with that name. It
+// of a team, the same that would be the relay of an upstream with that name. Control
+// hosts grant it operations out of the limit for the whole site. While none answers, it
 // counts against the part of the limit that corresponds to its data centre's part of
 // all proxies. It is safe for concurrent use.
 type Limits struct {
@@ -59,6 +63,7 @@
 	// counted is for the data centre, and alone for this proxy while it can ask
 	// no counter.
 	counted, alone *quota.Limiter
+	site           *siteCounters // nil if data centres have fixed shares
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -72,7 +77,7 @@
 
 // NewLimits returns limits without a count.
 func NewLimits(o LimitsOptions) *Limits {
-	return &Limits{
+	l := &Limits{
 		options: o,
 		log:     logging.For(o.Log, "limits"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("limits"),
@@ -81,12 +86,16 @@
 		proxies: highest{period: proxiesMemory},
 		batches: make(map[string]*batches),
 	}
+	if o.AskSite != nil {
+		l.site = newSiteCounters(o.AskSite)
+	}
+	return l
 }
 
 // Admit implements proxy.Limits.
 func (l *Limits) Admit(_ context.Context, team *site.Team) (ok bool, retryAfter time.Duration) {
 	if l.counter(team.Name) == nil {
-		admitted, retryAfter := l.count(team, 1)
+		admitted, retryAfter := l.countForDataCentre(team, 1)
 		return admitted > 0, retryAfter
 	}
 	return l.batchesOf(team.Name).admit(func(operations int) verdict { return l.ask(team, operations) })
@@ -104,7 +113,7 @@
 	for range maxCounters {
 		p := l.counter(team.Name)
 		if p == nil {
-			admitted, retryAfter := l.count(team, operations)
+			admitted, retryAfter := l.countForDataCentre(team, operations)
 			return verdict{admitted, retryAfter}
 		}
 		v, err := l.askPeer(p, team.Name, operations)
@@ -146,9 +155,9 @@
 	l.log.Info("counter of a team did not answer in time; asking another one", "counter", p.host.Name, "team", team)
 }
 
-// count counts operations of a team here for the data centre.
-func (l *Limits) count(team *site.Team, operations int) (admitted int, retryAfter time.Duration) {
-	return l.counted.Admit(bootclock.Now(), team.Name, limitOf(team), l.share(), operations)
+// count counts operations of a team here against a part of the data centre's share.
+func (l *Limits) count(team *site.Team, operations int, part float64) (admitted int, retryAfter time.Duration) {
+	return l.counted.Admit(bootclock.Now(), team.Name, limitOf(team), l.share().Times(part), operations)
 }
 
 // share returns the part of the site's limits that belongs to the data centre, as
@@ -262,7 +271,7 @@
 	default:
 	}
 	if team.Limited {
-		admitted, retryAfter := s.limits.count(team, int(r.Msg.Operations))
+		admitted, retryAfter := s.limits.countForDataCentre(team, int(r.Msg.Operations))
 		response.Admitted, response.RetryAfterMs = uint32(admitted), milliseconds(retryAfter)
 	}
 	return connect.NewResponse(response), nil
--- /dev/null
+++ b/relay/sitecounter.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lovageslip/bootclock"
+	"lovageslip/quota"
+	"lovageslip/site"
+)
+
+const (
+	// maxSiteCounters is how many control hosts are asked for a team.
+	maxSiteCounters = 2
+	// siteCounterAvoidance is how long a control host that did not answer is not
+	// asked again. An election or a restart takes about as long.
+	siteCounterAvoidance = 2 * time.Second
+	// cutOffPart is the part of a data centre's share that its counter admits
+	// while it reaches no control host, which go on granting the whole limit to
+	// the others. It is what remains of the tolerance.
+	cutOffPart = 0.6
+)
+
+// AskSite asks the control host at an address to grant operations of a team.
+type AskSite func(address, team string, operations int, substitute bool) (granted int, retryAfter time.Duration, err error)
+
+// siteCounters are the control hosts as counters of the limits of teams. The counter of
+// a team in a data centre gets operations from one of them, chosen by rendezvous
+// hashing of the team's name. It is safe for concurrent use.
+type siteCounters struct {
+	ask AskSite
+
+	// mu guards the fields below.
+	mu         sync.Mutex
+	avoidUntil map[string]time.Time // by address
+	reserves   map[string]*teamReserve
+}
+
+// teamReserve is the reserve of one team.
+type teamReserve struct {
+	// asking is held while a control host is asked.
+	asking sync.Mutex
+
+	mu      sync.Mutex
+	reserve quota.Reserve
+}
+
+func newSiteCounters(ask AskSite) *siteCounters {
+	return &siteCounters{ask: ask, avoidUntil: make(map[string]time.Time), reserves: make(map[string]*teamReserve)}
+}
+
+// admit takes operations of a team from its reserve, and fills that first if they are
+// missing. It reports false if no control host answers.
+func (c *siteCounters) admit(addresses []string, team string, n int) (v verdict, ok bool) {
+	r := c.reserveOf(team)
+	v, done := r.take(n)
+	if done {
+		return v, true
+	}
+	r.asking.Lock()
+	defer r.asking.Unlock()
+	more, done := r.take(n - v.admitted)
+	v = verdict{v.admitted + more.admitted, more.retryAfter}
+	if done {
+		return v, true
+	}
+	if !c.fill(r, addresses, team, n-v.admitted) {
+		return v, v.admitted > 0
+	}
+	more, _ = r.take(n - v.admitted)
+	return verdict{v.admitted + more.admitted, more.retryAfter}, true
+}
+
+func (r *teamReserve) take(n int) (v verdict, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken, refused, retryAfter := r.reserve.Take(bootclock.Now(), n)
+	return verdict{taken, retryAfter}, refused || taken == n
+}
+
+// fill asks for operations. It reports false if no control host has answered.
+func (c *siteCounters) fill(r *teamReserve, addresses []string, team string, missing int) bool {
+	r.mu.Lock()
+	want := r.reserve.Want(bootclock.Now(), missing)
+	r.mu.Unlock()
+	ranked := c.rank(addresses, team)
+	for i, address := range ranked {
+		askedAt := bootclock.Now()
+		if i >= maxSiteCounters || !c.usable(address, askedAt) {
+			continue
+		}
+		granted, retryAfter, err := c.ask(address, team, want, i > 0)
+		if err != nil {
+			c.recordFailure(address, err)
+			continue
+		}
+		r.mu.Lock()
+		r.reserve.Grant(askedAt, bootclock.Now(), want, granted, retryAfter)
+		r.mu.Unlock()
+		return true
+	}
+	return false
+}
+
+// rank returns the addresses in the order in which they count for a team.
+func (c *siteCounters) rank(addresses []string, team string) []string {
+	ranked := slices.Clone(addresses)
+	slices.SortFunc(ranked, func(a, b string) int {
+		if score(a, counterKey(team)) > score(b, counterKey(team)) {
+			return -1
+		}
+		return 1
+	})
+	return ranked
+}
+
+func (c *siteCounters) usable(address string, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !at.Before(c.avoidUntil[address])
+}
+
+// recordFailure makes a control host not be asked for a while, unless it only lacks
+// the team so far.
+func (c *siteCounters) recordFailure(address string, err error) {
+	var unknown *connect.Error
+	if errors.As(err, &unknown) && unknown.Code() == connect.CodeNotFound {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoidUntil[address] = bootclock.Now().Add(siteCounterAvoidance)
+}
+
+func (c *siteCounters) reserveOf(team string) *teamReserve {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.reserves[team]
+	if !ok {
+		r = &teamReserve{}
+		c.reserves[team] = r
+	}
+	return r
+}
+
+// countForDataCentre counts operations of a team here for the data centre: out of the
+// team's limit for the whole site or, while no control host answers, of the data
+// centre's share.
+func (l *Limits) countForDataCentre(team *site.Team, operations int) (admitted int, retryAfter time.Duration) {
+	if l.site == nil {
+		return l.count(team, operations, 1)
+	}
+	v, ok := l.site.admit(l.options.View().ControlHosts, team.Name, operations)
+	if ok {
+		return v.admitted, v.retryAfter
+	}
+	l.metrics.Counter("decided_without_control_total").Inc(1)
+	return l.count(team, operations, cutOffPart)
+}
--- /dev/null
+++ b/sitecontrol/limits.go
@@ -0,0 +1,73 @@
+package sitecontrol
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/quota"
+)
+
+// substitutePart is the part of a limit that a control host grants in the place of
+// another one that did not answer, and which may still count for other proxies. It
+// covers what teams usually send: limits are stated at about 1.6 times of it.
+const substitutePart = 0.65
+
+// Admit implements SiteService. The host grants out of the limit of its own state. It
+// needs no leader: proxies choose one host for each team.
+func (s *Server) Admit(_ context.Context, r *connect.Request[pb.AdmitRequest]) (*connect.Response[pb.AdmitResponse], error) {
+	team := s.team(r.Msg.Team)
+	if team == nil {
+		return nil, connect.NewError(connect.CodeNotFound, &UnknownTeam{Team: r.Msg.Team})
+	}
+	if team.RatePerSecond == nil {
+		return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
+	}
+	share := quota.Fixed(1)
+	if r.Msg.Substitute {
+		share = quota.Fixed(substitutePart)
+	}
+	limit := quota.Limit{RatePerSecond: team.GetRatePerSecond(), Burst: team.GetBurst()}
+	admitted, retryAfter := s.limiter.Admit(now(), team.Name, limit, share, int(r.Msg.Operations))
+	s.metrics.Counter("operations_granted_total").Inc(int64(admitted))
+	s.metrics.Counter("operations_denied_total").Inc(int64(r.Msg.Operations) - int64(admitted))
+	return connect.NewResponse(&pb.AdmitResponse{
+		Admitted:     uint32(admitted),
+		RetryAfterMs: uint32(min(retryAfter.Milliseconds(), int64(math.MaxUint32))),
+	}), nil
+}
+
+// team returns a team of the configuration in force, or nil.
+func (s *Server) team(name string) *pb.SiteTeam {
+	state, _, _ := s.options.State.Current()
+	for _, t := range state.Config.GetTeams() {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// UnknownTeam reports a team that the state of a control host does not hold.
+type UnknownTeam struct{ Team string }
+
+func (e *UnknownTeam) Error() string { return "control: no team " + e.Team }
+
+// admitTimeout bounds a proxy's request for operations of a team. It covers a round
+// trip between regions and a lost packet.
+const admitTimeout = 250 * time.Millisecond
+
+// Admit asks the control host at an address to grant operations of a team.
+func (c *Clients) Admit(address, team string, operations int, substitute bool) (granted int, retryAfter time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
+	defer cancel()
+	request := &pb.AdmitRequest{Team: team, Operations: uint32(operations), Substitute: substitute}
+	response, err := c.ForAddress(address).Admit(ctx, connect.NewRequest(request))
+	if err != nil {
+		return 0, 0, err
+	}
+	return int(response.Msg.Admitted), time.Duration(response.Msg.RetryAfterMs) * time.Millisecond, nil
+}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -26,6 +26,7 @@
 	"lovageslip/gen/lovageslip/v1/lovageslipv1connect"
 	"lovageslip/logging"
 	"lovageslip/metrics"
+	"lovageslip/quota"
 	"lovageslip/site"
 	"lovageslip/upstream"
 )
@@ -94,6 +95,8 @@
 	State     *site.State
 	Prober    Prober
 	Promoter  Promoter
+	// Quota is the tolerance of the limits of teams.
+	Quota quota.Options
 	// HTTPClient is for calls to other control hosts.
 	HTTPClient *http.Client
 	Log        *slog.Logger
@@ -106,6 +109,8 @@
 	log     *slog.Logger
 	metrics tally.Scope
 	clients *Clients
+	// limiter counts the operations of teams for the whole site.
+	limiter *quota.Limiter
 
 	// admitMu is held while a host is added to the members.
 	admitMu sync.Mutex
@@ -161,6 +166,8 @@
 		log:           logging.For(o.Log, "control"),
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
+		limiter:       quota.New(o.Quota),
+		limiter:       quota.New(o.Quota),
 		reports:       make(map[string]report),
 		watches:       make(map[string]uint64),
 		relays:        make(map[string][]*pb.RelayHost),
