--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -167,7 +167,6 @@
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
 		limiter:       quota.New(o.Quota),
-		limiter:       quota.New(o.Quota),
 		reports:       make(map[string]report),
 		watches:       make(map[string]uint64),
 		relays:        make(map[string][]*pb.RelayHost),
