Count operations of teams in a sliding window

Cause: token buckets alone refused 30 % (62 of 206) of the operations of a team with 1 a second at 6 counters in the model, because each bucket has little room for two at once, and begins with its start at the first operation. Change: a window at each counter keeps the limit, tokens only spread it over time. A new counter takes for granted that others have admitted all but the start; one that was in its list before knows that a team without a bucket has sent nothing, unless it follows a lost counter.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -15,22 +15,26 @@
 )
 
 const (
-	// The parts of the tolerance. steady parts enlarge the buckets, for callers
-	// that are not spread evenly over counters and for shares that are a fraction
-	// of an operation. start parts are what all new buckets start with together,
-	// so that the tolerance also holds if all counters start anew within one
-	// window. What is left is for counters that overlap while proxies change their
-	// lists, which costs the more the higher the rate is. So small teams, for which
-	// the slack matters, get more of it.
+	// The parts of the tolerance. steady parts are added to the limit at each
+	// counter, for callers that are not spread evenly over counters and for shares
+	// of a few operations. start parts are what all new buckets start with
+	// together, so that the tolerance also holds if all counters start anew within
+	// one window. What is left is for counters that overlap while proxies change
+	// their lists, which costs the more the higher the rate is. So small teams, for
+	// which the slack matters, get more of it.
 	steadyOver, startOver   = 0.1, 0.4
-	steadySlack, startSlack = 0.65, 0.3
+	steadySlack, startSlack = 0.5, 0.3
 	// startWithoutTolerance is the part of the burst that new buckets start with
 	// if the site states no tolerance. It serves the first operations after a
 	// restart; without a tolerance no rule bounds it.
 	startWithoutTolerance = 0.5
-	// minBucket is the size of all buckets of a team together, in operations.
-	// With less, a limit without a burst would never admit one.
-	minBucket = 1
+	// minTokens is the least size of one bucket, and what it has from its start. So
+	// few operations at once don't matter to an upstream, and the window limits what
+	// many small buckets admit together.
+	minTokens = 3
+	// minPerWindow is the least that a team that may run anything may run in a
+	// window. With less, a limit without a burst would hardly ever admit one.
+	minPerWindow = 1
 	// minRetryAfter is the shortest time to come back. Earlier than after a few
 	// round trips the answer is hardly ever another one.
 	minRetryAfter = 50 * time.Millisecond
@@ -100,7 +104,7 @@
 	t := l.termsOf(limit, share)
 	b, ok := l.buckets[team]
 	if !ok {
-		b = newBucket(now, t)
+		b = newBucket(share.countsSince(now), t, l.options.Window)
 		l.buckets[team] = b
 	}
 	b.refill(now)
@@ -132,17 +136,24 @@
 	}
 }
 
-// termsOf returns the terms of a counter with a share of a limit. Buckets with these
-// rates and sizes admit at most rate x window + size in a window, however it lies.
-// New ones add their start, so that all together admit at most
-// RatePerSecond x Window + Burst + tolerance.
+// termsOf returns the terms of a counter with a share of a limit. All counters
+// together admit at most RatePerSecond x Window + Burst and the steady parts of the
+// tolerance in a window, however it lies; new ones add their start.
 func (l *Limiter) termsOf(limit Limit, share Share) terms {
 	rate, burst := max(limit.RatePerSecond, 0), max(limit.Burst, 0)
-	over := l.options.Over * (rate*l.options.Window.Seconds() + burst)
-	size := max(burst+steadyOver*over+steadySlack*l.options.Slack, minBucket)
-	start := startOver*over + startSlack*l.options.Slack
+	seconds := l.options.Window.Seconds()
+	over := l.options.Over * (rate*seconds + burst)
+	steady := steadyOver*over + steadySlack*l.options.Slack
+	t := terms{
+		share:     share,
+		perWindow: max(rate*seconds+burst+steady, minPerWindow),
+		perSecond: rate + steadySlack*l.options.Slack/seconds,
+		size:      burst + steady,
+		start:     startOver*over + startSlack*l.options.Slack,
+	}
 	if over+l.options.Slack <= 0 {
-		start = max(startWithoutTolerance*burst, minBucket)
+		t.start = startWithoutTolerance * burst
 	}
-	return terms{share: share, rate: rate, size: size, start: min(start, size)}
+	t.start = min(max(t.start, minPerWindow), t.perWindow)
+	return t
 }
--- a/quota/share.go
+++ b/quota/share.go
@@ -12,11 +12,22 @@
 	// Settling is the part of the rate until SettledAt; later it is Part.
 	Settling  float64
 	SettledAt time.Time
+	// Since is when the counter began to count for its group of callers. It knows
+	// all that it has admitted from then on, so a team without a bucket has sent
+	// nothing. The zero time stands for now.
+	Since time.Time
 }
 
 // Fixed returns a share that doesn't change.
 func Fixed(part float64) Share { return Share{Part: part, Settling: part} }
 
+func (s Share) countsSince(now time.Time) time.Time {
+	if s.Since.IsZero() || s.Since.After(now) {
+		return now
+	}
+	return s.Since
+}
+
 // seconds returns the time between two times, weighted with the part of the rate.
 func (s Share) seconds(from, to time.Time) float64 {
 	if !to.After(from) {
@@ -34,9 +45,9 @@
 	// before may still count for some of them.
 	settlingTime = 1500 * time.Millisecond
 	// settlingRate is the part of the rate until then. Teams use about two thirds
-	// of their limit, and together with what new buckets start with, half of it
-	// for settlingTime refuses none of them.
-	settlingRate = 0.5
+	// of their limit, and together with what new buckets start with, this refuses
+	// them next to nothing.
+	settlingRate = 0.55
 	// regrouped is the part of the share before below which a share belongs to
 	// another group of callers. The loss of a few hosts takes less.
 	regrouped = 0.5
@@ -46,6 +57,8 @@
 // has just started. It is not safe for concurrent use.
 type Shares struct {
 	share float64
+	// since is when the current group of callers began.
+	since time.Time
 	// earlier are the shares of the last settlingTime.
 	earlier []earlierShare
 }
@@ -62,11 +75,14 @@
 		if share < regrouped*s.share {
 			s.share = 0
 		}
+		if s.share == 0 {
+			s.since = now
+		}
 		s.earlier = append(s.earlier, earlierShare{s.share, now})
 		s.share = share
 	}
 	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierShare) bool { return now.Sub(e.until) >= settlingTime })
-	next := Fixed(share)
+	next := Share{Part: share, Settling: share, Since: s.since}
 	for _, e := range s.earlier {
 		if e.share < share {
 			next.Settling = min(next.Settling, e.share+settlingRate*(share-e.share))
--- a/relay/client.go
+++ b/relay/client.go
@@ -57,6 +57,10 @@
 	// first of the peers and upstreams that are avoided may be used again.
 	chosen    map[string]*peer
 	recheckAt time.Time
+	// gone holds when peers left the list, for goneMemory.
+	gone map[string]time.Time
+	// onPeers is called after each change of peers, if set.
+	onPeers func()
 }
 
 // peer is another proxy that may be a relay.
@@ -84,11 +88,18 @@
 		metrics: metrics.OrNoop(o.Metrics).SubScope("relay"),
 		peers:   make(map[string]*peer),
 		chosen:  make(map[string]*peer),
+		gone:    make(map[string]time.Time),
 	}
 }
 
 // SetPeers implements proxy.Relays. A peer that was started again is a new one.
 func (c *Client) SetPeers(hosts []*pb.RelayHost) {
+	if onPeers := c.setPeers(hosts); onPeers != nil {
+		onPeers()
+	}
+}
+
+func (c *Client) setPeers(hosts []*pb.RelayHost) (onPeers func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	peers := make(map[string]*peer)
@@ -103,8 +114,10 @@
 			peers[h.Name] = &peer{host: h, service: service, avoidUpstreams: make(map[string]time.Time)}
 		}
 	}
+	rememberGone(c.gone, c.peers, peers)
 	c.peers = peers
 	clear(c.chosen)
+	return c.onPeers
 }
 
 // HasRelay implements proxy.Relays.
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -72,7 +74,7 @@
 
 // NewLimits returns limits without a count.
 func NewLimits(o LimitsOptions) *Limits {
-	return &Limits{
+	l := &Limits{
 		options: o,
 		log:     logging.For(o.Log, "limits"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("limits"),
@@ -81,6 +83,10 @@
 		proxies: highest{period: proxiesMemory},
 		batches: make(map[string]*batches),
 	}
+	// A change of the share must be known when it happens, not with the next
+	// operation.
+	o.Client.setOnPeers(func() { l.share() })
+	return l
 }
 
 // Admit implements proxy.Limits.
@@ -148,7 +154,16 @@
 
 // count counts operations of a team here for the data centre.
 func (l *Limits) count(team *site.Team, operations int) (admitted int, retryAfter time.Duration) {
-	return l.counted.Admit(bootclock.Now(), team.Name, limitOf(team), l.share(), operations)
+	defer func() { l.recordCount(admitted, operations) }()
+	share := l.share()
+	share.Since = l.options.Client.countsSince(counterKey(team.Name), share.Since)
+	return l.counted.Admit(bootclock.Now(), team.Name, limitOf(team), share, operations)
+}
+
+// recordCount has no tag of the team: the log lines of refusals name it.
+func (l *Limits) recordCount(admitted, operations int) {
+	l.metrics.Counter("admitted_total").Inc(int64(admitted))
+	l.metrics.Counter("refused_total").Inc(int64(operations - admitted))
 }
 
 // share returns the part of the site's limits that belongs to the data centre, as
@@ -213,6 +228,12 @@
 	return max(h.current, h.previous)
 }
 
+func (c *Client) setOnPeers(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onPeers = f
+}
+
 // avoidFor makes this proxy use another relay than p for a key for a while.
 func (c *Client) avoidFor(p *peer, key string, d time.Duration) {
 	c.mu.Lock()
@@ -228,6 +249,45 @@
 	return len(c.peers) + 1
 }
 
+// goneMemory is for how long proxies are remembered that have left the list: longer
+// than a window, in which they may have counted.
+const goneMemory = 10 * time.Second
+
+// rememberGone adds the peers that left the list, and forgets those of long ago.
+func rememberGone(gone map[string]time.Time, before, after map[string]*peer) {
+	now := bootclock.Now()
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			gone[name] = now
+		}
+	}
+	maps.DeleteFunc(gone, func(_ string, at time.Time) bool { return now.Sub(at) > goneMemory })
+}
+
+// countsSince returns since when this proxy has been the counter for a key, if it has
+// been in its list since a time. It returns the zero time while it stands in for
+// another one.
+func (c *Client) countsSince(key string, since time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return countsSince(c.options.Name, key, since, maps.Keys(c.peers), c.gone)
+}
+
+func countsSince(self, key string, since time.Time, peers iter.Seq[string], gone map[string]time.Time) time.Time {
+	own := score(self, key)
+	for name := range peers {
+		if score(name, key) > own {
+			return time.Time{}
+		}
+	}
+	for name, at := range gone {
+		if at.After(since) && score(name, key) > own {
+			since = at
+		}
+	}
+	return since
+}
+
 // otherRelay returns the best relay for a key that is not this proxy, or nil.
 func (c *Client) otherRelay(key string) *peer {
 	c.mu.Lock()
