--- a/relay/client.go
+++ b/relay/client.go
@@ -63,6 +63,10 @@
 	// searched holds by upstream how many peers the searches for a substitute of its
 	// relay have asked since one was found.
 	searched map[string]int
+	// gone holds when peers left the list, for goneMemory.
+	gone map[string]time.Time
+	// onPeers is called after each change of peers, if set.
+	onPeers func()
 }
 
 // peer is another proxy that may be a relay.
@@ -93,11 +97,18 @@
 
 		avoidSelf: make(map[string]time.Time),
 		searched:  make(map[string]int),
+		gone:      make(map[string]time.Time),
 	}
 }
 
 // SetPeers implements proxy.Relays. A peer that was started again is a new one.
 func (c *Client) SetPeers(hosts []*pb.RelayHost) {
+	if onPeers := c.setPeers(hosts); onPeers != nil {
+		onPeers()
+	}
+}
+
+func (c *Client) setPeers(hosts []*pb.RelayHost) (onPeers func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	peers := make(map[string]*peer)
@@ -112,8 +123,10 @@
 			peers[h.Name] = &peer{host: h, service: service, avoidUpstreams: make(map[string]time.Time)}
 		}
 	}
+	rememberGone(c.gone, c.peers, peers)
 	c.peers = peers
 	clear(c.chosen)
+	return c.onPeers
 }
 
 // HasRelay implements proxy.Relays.
--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -151,6 +151,7 @@
 // team's limit for the whole site or, while no control host answers, of the data
 // centre's share.
 func (l *Limits) countForDataCentre(team *site.Team, operations int) (admitted int, retryAfter time.Duration) {
+	defer func() { l.recordCount(admitted, operations) }()
 	if l.site == nil {
 		return l.count(team, operations, 1)
 	}
