Pace the dials of a pool that has just been created or refused

Cause: when all hosts start at once after a loss of power, upstreams still count the connections of before for 3 s. Each pool dialed one connection for each waiting statement, up to four at the same moment, and the same again after each pause, so that most dials were refused, and the first pools took all the room. In the first 4 s of a pool connections are taken one by one, 100 ms apart; later a refusal leads back to one dial at a time, and the width doubles with each round that succeeds. A pool that has a connection pauses longer after a refusal than one that has none. Virtual connections to relays are not paced.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 )
 
 // dial opens a connection that grantLocked has already counted in open and
@@ -23,7 +22,7 @@
 		p.failWaitersLocked(err)
 		return
 	}
-	p.refusedDials, p.nextDialAt = 0, time.Time{}
+	p.pacer.onSuccess(now())
 	c := p.newConn(dialed)
 	if p.closed {
 		p.closeLocked(c)
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -36,7 +36,8 @@
 	open     int                   // connections
 	dials    int                   // connections ever opened
 	full     bool                  // refuses new connections
-	refused  int                   // connections refused while full
+	room     int                   // refuses more connections than that, if set
+	refused  int                   // connections refused
 	values   []map[string]string   // session values of each read and write
 	onBegin  func(u *fakeUpstream) // called after each BEGIN
 }
@@ -57,7 +58,7 @@
 	if u == nil || u.dead {
 		return nil, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
 	}
-	if u.full {
+	if u.full || u.room > 0 && u.open >= u.room {
 		u.refused++
 		return nil, &DialRefused{Upstream: u.id, Code: CodeTooManyConnections}
 	}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -52,8 +52,7 @@
 	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream {
 		// The upstream is reachable but has no free connection or slot.
 		p.backoffUntil = now().Add(backoffMin)
-		p.refusedDials++
-		p.nextDialAt = now().Add(jitter(min(backoffMin<<min(p.refusedDials-1, 3), backoffMax)))
+		p.pacer.onRefusal(now(), p.open-p.dialing)
 		return
 	}
 	p.recordFailureLocked()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -40,14 +40,10 @@
 	// sent to it.
 	inFlight int
 	// dialing is the part of open that is still being dialed.
-	dialing int
-	// refusedDials counts the dials that the upstream has refused for lack of
-	// room since the last one that succeeded. No other is begun before
-	// nextDialAt, because each takes time of the upstream as well.
-	refusedDials int
-	nextDialAt   time.Time
-	concurrency  concurrencyLimit
-	waiters      []*waiter
+	dialing     int
+	pacer       dialPacer
+	concurrency concurrencyLimit
+	waiters     []*waiter
 	// grantTimerSet is set while a timer is pending that calls grantLocked.
 	grantTimerSet bool
 
@@ -101,6 +97,7 @@
 		dialer:       dialer,
 		siteUpstream: u,
 		quota:        quota,
+		pacer:        dialPacer{createdAt: now()},
 		concurrency:  newConcurrencyLimit(),
 		serviceTime:  float64(initialServiceTime / time.Millisecond),
 	}
@@ -111,6 +108,7 @@
 func newRelayedPool(relays Relays, u *pb.SiteUpstream) *pool {
 	p := newPool(relays, u, relayedQuota)
 	p.relays = relays
+	p.pacer = unpacedDials()
 	p.concurrency = unlimitedConcurrency()
 	return p
 }
@@ -184,10 +182,10 @@
 		p.popWaiterLocked(at).granted <- grant{conn: c}
 	}
 	room := max(int(p.concurrency.limit), 1) - p.inFlight
-	if at.Before(p.nextDialAt) {
+	if at.Before(p.pacer.nextAt) {
 		return
 	}
-	for p.dialing < min(len(p.waiters), room) && p.open < p.quota.limit && !p.closed {
+	for p.dialing < min(len(p.waiters), room, p.pacer.width(at)) && p.open < p.quota.limit && !p.closed {
 		p.open++
 		p.dialing++
 		go p.dial()
@@ -201,7 +199,7 @@
 	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantTimerSet {
 		return
 	}
-	wait := p.nextDialAt.Sub(at)
+	wait := p.pacer.nextAt.Sub(at)
 	if !p.concurrency.allows(0, at) {
 		wait = max(wait, p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt))
 	}
