Wake the statements that wait for a paced dial

Cause: the pause before the next dial was waited for only while no statement was in flight. Change: the timer is set for that pause in any case. Result: TestSurplusConnectionsAreClosedSoon fails without it (no_turn after 1 s) and passes. go test ./proxy: passes but for the known red TestHeavyPatterns; go test ./relay passes.

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -193,14 +193,15 @@
 }
 
 // scheduleGrantLocked calls grantLocked again when the pauses after a decrease of
-// the concurrency limit and after a refused dial have passed. It need not if
-// statements are in flight, because grantLocked is called after each answer.
+// the concurrency limit and before the next dial have passed. The first need not be
+// waited for if statements are in flight, because grantLocked is called after each
+// answer.
 func (p *pool) scheduleGrantLocked(at time.Time) {
-	if len(p.waiters) == 0 || p.inFlight > 0 || p.grantTimerSet {
+	if len(p.waiters) == 0 || p.grantTimerSet {
 		return
 	}
 	wait := p.pacer.nextAt.Sub(at)
-	if !p.concurrency.allows(0, at) {
+	if p.inFlight == 0 && !p.concurrency.allows(0, at) {
 		wait = max(wait, p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt))
 	}
 	if wait <= 0 {
