Try unreachable control hosts every 0.3 s

Cause: a proxy that starts while it is cut off from all control hosts tried them after pauses that grow to 0.75-2.25 s. They exist to spare control hosts that recover; an attempt that no host accepts costs them nothing. After a cut the proxy went on without a view, and so without serving, for up to 1.9 s. Change: only failed watches make the pauses longer. An attempt in which no control host accepts a connection is repeated after 0.15 to 0.45 s. Result: TestUnreachableControlHostsAreTriedOften fails before (gaps of 0.94 and 1.36 s) and passes.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -44,9 +44,13 @@
 	// on, up to maxRetryDelay, until a watch has lasted for stableWatch: hundreds
 	// of proxies that try again at once would keep control hosts from
 	// recovering.
-	retryDelay          = 100 * time.Millisecond
-	maxRetryDelay       = 1500 * time.Millisecond
-	stableWatch         = 5 * time.Second
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = 1500 * time.Millisecond
+	stableWatch   = 5 * time.Second
+	// unreachablePause is the mean pause after an attempt in which no control host
+	// accepted a connection. It doesn't grow, because such attempts take no time of
+	// control hosts, and a proxy without a view serves nothing once a host is back.
+	unreachablePause    = 300 * time.Millisecond
 	reportCheckInterval = 50 * time.Millisecond
 	reportTimeout       = 500 * time.Millisecond
 )
@@ -123,7 +127,9 @@
 	for failures := 0; ctx.Err() == nil; failures++ {
 		address, ok := w.nearest(ctx, failedAt)
 		if !ok {
-			pause.For(ctx, retryPause(failures))
+			// The loop counts failed watches only.
+			failures--
+			pause.For(ctx, jitter(unreachablePause))
 			continue
 		}
 		begunAt := bootclock.Now()
@@ -143,10 +149,12 @@
 // retryPause returns a random pause after a number of failures since the last stable
 // watch, between half and one and a half times the mean.
 func retryPause(failures int) time.Duration {
-	mean := min(retryDelay<<min(max(failures-1, 0), 10), maxRetryDelay)
-	return mean/2 + rand.N(mean)
+	return jitter(min(retryDelay<<min(max(failures-1, 0), 10), maxRetryDelay))
 }
 
+// jitter returns a random pause between half and one and a half times the mean.
+func jitter(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
+
 func (w *Watch) index() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/sitewatch/sitewatch_test.go
+++ b/sitewatch/sitewatch_test.go
@@ -1,7 +1,9 @@
 package sitewatch
 
 import (
+	"context"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -84,3 +86,26 @@
 	update(11, leaving)
 	assert.Equal(t, p.view.LeavingNotBefore("a"), at(20))
 }
+
+// Guards against a proxy that has started while it was cut off from all control
+// hosts, and goes on without a view for seconds after the cut.
+func TestUnreachableControlHostsAreTriedOften(t *testing.T) {
+	const attempts = 6
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	tried := make(chan time.Time, 100)
+	w := New(Options{Log: slog.New(slog.DiscardHandler), HTTPClient: http.DefaultClient, Seeds: func() []string {
+		tried <- time.Now()
+		return nil
+	}})
+	ended := make(chan struct{})
+	go func() { w.Run(ctx, &viewRecorder{}); close(ended) }()
+	last := <-tried
+	for range attempts {
+		at := <-tried
+		assert.Check(t, at.Sub(last) < 3*unreachablePause, "%v", at.Sub(last))
+		last = at
+	}
+	stop()
+	<-ended
+}
