--- a/proxy/startroom.go
+++ b/proxy/startroom.go
@@ -18,7 +18,7 @@
 	// during startPeriod. Hosts that start together get their first views within
 	// a few times that long, so each finds room for a first connection. A relay
 	// needs few: one serves about 20 statements a second in another region.
-	startInterval = 100 * time.Millisecond
+	startInterval = 50 * time.Millisecond
 	// furtherPauseFactor multiplies the pause after a refused dial if the pool has
 	// a connection: what becomes free should first go to proxies that have none.
 	furtherPauseFactor = 4
