--- a/proxy/startroom.go
+++ b/proxy/startroom.go
@@ -27,17 +27,34 @@
 	maxFurtherPause = time.Second
 )
 
-// dialPacer bounds how many connections a pool dials at the same time, and when.
-// After a refusal it begins with one again, so that a pool finds out with one dial
-// whether there is room, and doubles with each round of dials that succeed.
+// dialPacer decides when a pool dials more connections. Up to as many as the upstream
+// has accepted side by side since the last refusal, connections are replaced freely,
+// for example those of one team by those of another. Beyond, a pool finds out with
+// one dial whether there is room, and doubles with each round of dials that succeed.
 type dialPacer struct {
 	createdAt time.Time
+	// proven is how many connections were open at a time since the last refusal.
+	proven int
 	// succeeded counts the dials that have succeeded since the last refusal.
 	succeeded int
 	// refused counts the refusals since the last success.
 	refused int
-	// nextAt is when the next dial may begin. Each takes time of the upstream.
-	nextAt time.Time
+	// pausedUntil is the end of the pause after a refusal. Each dial takes time of
+	// the upstream. growAt is when more than the proven connections may be dialed.
+	pausedUntil, growAt time.Time
+}
+
+// allows reports whether another dial may begin, while so many connections are open,
+// some of which are still being dialed.
+func (d *dialPacer) allows(at time.Time, open, dialing int) bool {
+	switch {
+	case at.Before(d.pausedUntil):
+		return false
+	case open < d.proven:
+		return true
+	default:
+		return !at.Before(d.growAt) && dialing < d.width(at)
+	}
 }
 
 // width returns how many dials may be under way at the same time.
@@ -50,25 +67,36 @@
 
 func (d *dialPacer) starting(at time.Time) bool { return at.Sub(d.createdAt) < startPeriod }
 
-func (d *dialPacer) onSuccess(at time.Time) {
+// wait returns how long no dial may begin, or only one that replaces a connection.
+func (d *dialPacer) wait(at time.Time) time.Duration {
+	return max(d.pausedUntil.Sub(at), d.growAt.Sub(at))
+}
+
+// onSuccess records that so many connections are open side by side.
+func (d *dialPacer) onSuccess(at time.Time, open int) {
+	d.proven = max(d.proven, open)
 	d.succeeded++
-	d.refused, d.nextAt = 0, time.Time{}
+	d.refused, d.pausedUntil = 0, time.Time{}
 	if d.starting(at) {
-		d.nextAt = at.Add(startInterval)
+		d.growAt = at.Add(startInterval)
 	}
 }
 
 // onRefusal records that the upstream had no room, for a pool with so many open
-// connections.
+// connections. If fewer are open than were proven, the upstream may still count one
+// that was closed to make room.
 func (d *dialPacer) onRefusal(at time.Time, open int) {
-	d.succeeded = 0
+	further := open > 0 && open >= d.proven
+	d.proven, d.succeeded = open, 0
 	d.refused++
 	pause := min(backoffMin<<min(d.refused-1, 3), backoffMax)
-	if open > 0 {
+	if further {
 		pause = min(furtherPauseFactor*pause, maxFurtherPause)
 	}
-	d.nextAt = at.Add(jitter(pause))
+	d.pausedUntil = at.Add(jitter(pause))
 }
 
 // unpacedDials is for virtual connections, which take no room of an upstream.
-func unpacedDials() dialPacer { return dialPacer{succeeded: relayedQuota.limit} }
+func unpacedDials() dialPacer {
+	return dialPacer{proven: relayedQuota.limit, succeeded: relayedQuota.limit}
+}
