--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 )
 
 // dial opens a connection for a team that startDialLocked has already counted in
@@ -26,7 +25,7 @@
 		p.failAfterDialLocked(t, err)
 		return
 	}
-	p.refusedDials, p.nextDialAt = 0, time.Time{}
+	p.pacer.onSuccess(now(), p.open-p.dialing)
 	p.metrics.Counter("connections_opened_total").Inc(1)
 	c := p.newConn(dialed, t)
 	if p.closed {
--- a/proxy/grant.go
+++ b/proxy/grant.go
@@ -77,7 +77,7 @@
 // mayOpen reports whether a connection can be opened while none is idle.
 func (r *grantRound) mayOpen() bool {
 	p := r.pool
-	return !r.idleOnly && !p.closed && p.open < p.quota.limit && !r.at.Before(p.nextDialAt)
+	return !r.idleOnly && !p.closed && p.open < p.quota.limit && p.mayDialLocked(r.at)
 }
 
 // connect finds a connection for a waiter whose team has none idle: one that is
@@ -94,10 +94,10 @@
 		r.reserved++
 	case p.closed:
 		r.idleOnly = true
-	case r.at.Before(p.nextDialAt):
+	case !p.mayDialLocked(r.at):
 		r.idleOnly = true
-		if t.name != "" {
-			p.grantAfterLocked(p.nextDialAt.Sub(r.at))
+		if wait := p.pacer.wait(r.at); wait > 0 {
+			p.grantAfterLocked(wait)
 		}
 	case t.name != "" && t.claimedReleases < t.inFlight && waited < ownReleaseWait:
 		t.claimedReleases++
@@ -111,6 +111,12 @@
 	}
 }
 
+// mayDialLocked reports whether a connection may be dialed, in addition to those that
+// are open, or instead of one of them if there are as many as the quota allows.
+func (p *pool) mayDialLocked(at time.Time) bool {
+	return p.pacer.allows(at, min(p.open, p.quota.limit-1), p.dialing)
+}
+
 func (p *pool) startDialLocked(t *poolTeam) {
 	p.open++
 	p.dialing++
@@ -120,14 +126,15 @@
 }
 
 // scheduleGrantLocked calls grantLocked again when the pauses after a decrease of
-// the concurrency limit and after a refused dial have passed. It need not if
-// statements are in flight, because grantLocked is called after each answer.
+// the concurrency limit and before the next dial have passed. The first need not be
+// waited for if statements are in flight, because grantLocked is called after each
+// answer.
 func (p *pool) scheduleGrantLocked(at time.Time) {
-	if len(p.waiters) == 0 || p.inFlight > 0 {
+	if len(p.waiters) == 0 {
 		return
 	}
-	wait := p.nextDialAt.Sub(at)
-	if !p.concurrency.allows(0, at) {
+	wait := p.pacer.wait(at)
+	if p.inFlight == 0 && !p.concurrency.allows(0, at) {
 		wait = max(wait, p.concurrency.pauseAfterDecrease()-at.Sub(p.concurrency.decreasedAt))
 	}
 	if wait > 0 {
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -63,8 +63,7 @@
 		// The upstream is reachable but has no free connection or slot.
 		p.lastAnswerAt = now()
 		p.backoffUntil = now().Add(backoffMin)
-		p.refusedDials++
-		p.nextDialAt = now().Add(jitter(min(backoffMin<<min(p.refusedDials-1, 3), backoffMax)))
+		p.pacer.onRefusal(now(), p.open-p.dialing)
 		return
 	}
 	// A backoff is not extended, so that the check which is due after it can look for
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -46,14 +46,10 @@
 	// dialing is the part of open that is still being dialed.
 	dialing int
 	// relayedAt is when a command of another proxy last asked for a connection.
-	relayedAt time.Time
-	// refusedDials counts the dials that the upstream has refused for lack of
-	// room since the last one that succeeded. No other is begun before
-	// nextDialAt, because each takes time of the upstream as well.
-	refusedDials int
-	nextDialAt   time.Time
-	concurrency  concurrencyLimit
-	waiters      []*waiter
+	relayedAt   time.Time
+	pacer       dialPacer
+	concurrency concurrencyLimit
+	waiters     []*waiter
 	// teams holds the teams that share the connections, by name.
 	teams map[string]*poolTeam
 	// rounds and rankings number the calls of grantLocked and rankIdleLocked.
@@ -136,6 +132,7 @@
 		dialer:       dialer,
 		siteUpstream: u,
 		quota:        quota,
+		pacer:        dialPacer{createdAt: now()},
 		concurrency:  newConcurrencyLimit(),
 		teams:        map[string]*poolTeam{},
 		metrics:      tally.NoopScope,
@@ -149,6 +146,7 @@
 func newRelayedPool(relays Relays, u *pb.SiteUpstream) *pool {
 	p := newPool(relays, u, relayedQuota)
 	p.relays = relays
+	p.pacer = unpacedDials()
 	p.concurrency = unlimitedConcurrency()
 	return p
 }
--- a/proxy/teamconns_test.go
+++ b/proxy/teamconns_test.go
@@ -166,6 +166,7 @@
 		for _, team := range []string{"a", "b", "c"} {
 			used = append(used, mustAcquire(t, p, team))
 		}
+		time.Sleep(startPeriod) // A new pool opens connections one by one.
 		var burst sync.WaitGroup
 		for range 3 {
 			burst.Go(func() {
