Keep to the home replica where connections are scarce

Cause: the choice by weight counted the opening of a scarce connection as 30 ms only, and so left the home replica now and then, at 12 ms of an upstream's slot for each new connection.

Change: upstreams to which a scarce connection must be opened rank behind the others of the same distance. They take part as those fill.

--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -56,7 +56,7 @@
 		if e.behind && !c.primary {
 			continue
 		}
-		e.known.Distance = int(p.distanceTo(u))
+		e.known.Distance = rank(p.distanceTo(u), e.known)
 		if c.primary {
 			e.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
 		}
@@ -72,6 +72,17 @@
 	return fitting, known
 }
 
+// rank orders upstreams by distance, and at equal distance those to which a scarce
+// connection must be opened first behind the others, so that a proxy keeps to its home
+// replica while that has room.
+func rank(d distance, known balance.Candidate) int {
+	r := 2 * int(d)
+	if known.Overhead > 0 {
+		r++
+	}
+	return r
+}
+
 func (p *Proxy) countChoice(reason balance.Reason, known balance.Candidate) {
 	p.metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total").Inc(1)
 	if known.LoadAge != balance.Unknown {
