Count as late what can't end in time; refused callers come back after the backlog

Cause: (1) operations were given up as late after 0.6 of their target, though most run for a tenth of it. (2) Operations that were refused after 3 s came back within 0.6 s as new ones, and took room from those that could still be in time: burst-10 was late again 3 s after its end. (3) A statement arrived up to 18 times at an upstream without room.

Change: (1) late is what isn't expected to end within 0.9 of its target. (2) The time to come back is that which the backlog lasts, at most 1.5 s on average. (3) Each refusal by a busy upstream doubles the pause of the statement, up to half a second.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -23,6 +23,10 @@
 	// attempt.
 	busyBackoff      = 30 * time.Millisecond
 	noPrimaryBackoff = 50 * time.Millisecond
+	// maxBusyDoublings is how often the pause after a refusal by a busy upstream
+	// doubles for one statement, to half a second: each attempt is one more arrival
+	// there.
+	maxBusyDoublings = 4
 	// maxReruns bounds how often a read that ran and failed is run again.
 	maxReruns = 2
 	// minReadTimeout is the least time that a read is given at one upstream.
@@ -86,11 +90,16 @@
 // attempt that is retried has taken effect.
 func (s *Session) retryUntilFinal(ctx context.Context, st *Statement, try func() attempt) Reply {
 	deadline := now().Add(maxRetryDuration)
+	refusals := 0 // by upstreams without room
 	for n := 0; ; n++ {
 		a := try()
 		if a.done {
 			return a.reply
 		}
+		if a.reason == reasonBusy {
+			a.wait <<= min(refusals, maxBusyDoublings)
+			refusals++
+		}
 		metrics.CountRetry(s.proxy.metrics, s.database, a.reason)
 		s.proxy.log.Info("proxy retries a statement", "request", st.ID, "database", s.database, "attempt", n+1,
 			"reason", a.reason, "upstream", a.upstream, "after", a.minPosition, "wait", a.wait, "view", s.proxy.View().Index)
@@ -98,7 +107,7 @@
 			return s.refuseNotRun(a.reason, newUpstreamMean)
 		}
 		if now().Add(a.wait).After(deadline) {
-			return s.refuseWithRetry(a.reason)
+			return s.refuseNotRun(a.reason, max(retryAfterMean, s.backlogTime()))
 		}
 		if ctx.Err() != nil || (a.wait > 0 && !pause.For(ctx, a.wait)) {
 			return s.refuseWithRetry(fault.ReasonShutdown)
@@ -111,6 +120,36 @@
 // refused during one don't all return at once.
 const retryAfterMean = 400 * time.Millisecond
 
+const (
+	// maxBacklogTime bounds the mean time after which a refused caller should try
+	// again, so that few lose their patience meanwhile.
+	maxBacklogTime = 1500 * time.Millisecond
+	// drainFactor is how much longer a backlog lasts than its work, because new
+	// work takes half of the upstreams at the usual load.
+	drainFactor = 2
+)
+
+// backlogTime returns how long the backlog of the session's group will last, as the mean
+// over its upstreams. A refused operation that comes back sooner would delay others: the
+// proxy can't tell it from a new one, which may still be in time.
+func (s *Session) backlogTime() time.Duration {
+	route, ok := s.proxy.View().Route(s.database)
+	if !ok {
+		return 0
+	}
+	view, ok := s.proxy.View().Group(route.Group)
+	if !ok || len(view.Upstreams) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, u := range view.Upstreams {
+		if pl, ok := s.proxy.pool(u); ok {
+			sum += pl.backlogTime()
+		}
+	}
+	return min(drainFactor*sum/time.Duration(len(view.Upstreams)), maxBacklogTime)
+}
+
 // newUpstreamMean is the mean time after which a caller should try again whose group
 // has no upstream: one that is started then must announce itself and be promoted.
 const newUpstreamMean = 1500 * time.Millisecond
--- a/proxy/concurrency.go
+++ b/proxy/concurrency.go
@@ -115,13 +115,13 @@
 	maxPriority       = 4
 )
 
-// maxWaitedShare is the share of its target that an operation may have waited
-// and still be expected to end within the target. The rest is for its run and,
-// in a transaction, for the statements that follow.
-const maxWaitedShare = 0.6
+// usableShare is the share of its target in which an operation must be expected to
+// end to count as in time. The rest is for the network and, in a transaction, for
+// the caller's pauses between statements.
+const usableShare = 0.9
 
 func (u urgency) canMeetTarget(at time.Time) bool {
-	return u.target == math.MaxInt64 || float64(at.Sub(u.arrivedAt)) < maxWaitedShare*float64(u.target)
+	return u.target == math.MaxInt64 || float64(at.Sub(u.arrivedAt)+u.expected) < usableShare*float64(u.target)
 }
 
 // mostUrgent returns the index of the statement to send next. Operations that
--- a/proxy/concurrency_test.go
+++ b/proxy/concurrency_test.go
@@ -151,3 +151,16 @@
 	}
 	assert.Equal(t, concurrency.limit, 1.0)
 }
+
+// Guards against operations that count as late, and wait behind all others, although
+// they have time left, and against ones that count as in time until it is too late for
+// them to end.
+func TestLateIsWhatCanNotEndWithinItsTarget(t *testing.T) {
+	at := time.Unix(100, 0)
+	waited := func(d, expected time.Duration) urgency {
+		return urgency{arrivedAt: at.Add(-d), target: time.Second, expected: expected}
+	}
+	assert.Check(t, waited(700*time.Millisecond, 50*time.Millisecond).canMeetTarget(at))
+	assert.Check(t, !waited(550*time.Millisecond, 400*time.Millisecond).canMeetTarget(at))
+	assert.Check(t, !waited(950*time.Millisecond, 0).canMeetTarget(at))
+}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -248,6 +248,15 @@
 	return c
 }
 
+// backlogTime returns how long the upstream will be busy with what is known to be there
+// or to wait for it.
+func (p *pool) backlogTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.knownLocked(now())
+	return time.Duration(known.Outstanding / known.Capacity * float64(known.AnswerTime))
+}
+
 // ageOf returns how old a figure of a time is; the zero time means that there is none.
 func ageOf(t, at time.Time) time.Duration {
 	if t.IsZero() {
