Count only statements in flight as sent since the relay's figure

Cause: a relay of an earlier version sends no figure, so the count of what was sent since was never reset and its upstreams would have looked ever fuller. The same for statements whose answer was lost.

Change: statements that are no longer in flight don't count.

--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lovageslip/balance"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/site"
 	"lovageslip/upstream"
@@ -82,6 +83,21 @@
 	assert.Equal(t, pl.estimate(upstream.Position{}).known.SentSince, 1, "an older figure replaced a newer one")
 }
 
+// Guards against upstreams that look ever fuller because their relay, of an earlier
+// version, sends no figures that would replace the count of what was sent since.
+func TestRelayWithoutFiguresDoesNotLookFull(t *testing.T) {
+	pl := newRelayedPool(struct{ Relays }{}, &pb.SiteUpstream{Id: "r1"})
+	c := &conn{pool: pl, Conn: &fakeConn{}}
+	for range 50 {
+		pl.resume(c)
+		c.recordLoad()
+		pl.suspend(c)
+	}
+	known := pl.estimate(upstream.Position{}).known
+	assert.Equal(t, known.SentSince, 0)
+	assert.Equal(t, known.LoadAge, balance.Unknown)
+}
+
 // Guards against a primary that gets as many reads as a replica although it alone can
 // run writes.
 func TestPrimaryGetsFewerReadsWhileItHasOtherWork(t *testing.T) {
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -243,7 +243,7 @@
 		c.Overhead = connectTime
 	}
 	if p.relays != nil {
-		p.relayLoad.describe(&c, at)
+		p.relayLoad.describe(&c, p.inFlight, at)
 	}
 	return c
 }
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -113,10 +113,11 @@
 	sentSince int
 }
 
-// describe fills in the relay's figures.
-func (l *relayLoad) describe(c *balance.Candidate, at time.Time) {
+// describe fills in the relay's figures. Statements that the proxy has sent since and
+// that are no longer in flight have left the upstream, even if the answer told no load.
+func (l *relayLoad) describe(c *balance.Candidate, inFlight int, at time.Time) {
 	c.Outstanding, c.Capacity, c.LoadAge = float64(l.load.Outstanding), initialConcurrency, ageOf(l.at, at)
-	c.SentSince = l.sentSince
+	c.SentSince = min(l.sentSince, inFlight)
 	if l.load.Limit > 0 {
 		c.Capacity = l.load.Limit
 	}
