--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// inVirtualTime runs a test with the clock of its bubble.
-func inVirtualTime(t *testing.T, test func(t *testing.T)) {
+// withVirtualClock runs a test with the clock of its bubble.
+func withVirtualClock(t *testing.T, test func(t *testing.T)) {
 	synctest.Test(t, func(t *testing.T) {
 		realNow := now
 		now = time.Now
@@ -22,7 +22,7 @@
 // Guards against a statement that arrives dozens of times at an upstream that has no
 // room.
 func TestBusyUpstreamGetsFewArrivalsOfOneStatement(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T) {
 		f := newFixture(t)
 		const refuses = 1000
 		f.group.update("p1", func(u *fakeUpstream) { u.busy = refuses })
@@ -40,7 +40,7 @@
 // Guards against operations that are refused in overload and come back while the backlog
 // lasts, where they look like new ones that can still be in time.
 func TestRefusedWorkComesBackAfterTheBacklog(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T) {
+	withVirtualClock(t, func(t *testing.T) {
 		f := newFixture(t)
 		for _, u := range f.parts.Upstreams {
 			pl, _ := f.proxy.pool(u)
