A slow dial of one team no longer keeps less urgent statements of others waiting

Cause: room in the concurrency limit is left for a more urgent statement whose connection is being dialed. If the dial lost a packet, that took up to a second, with a limit of one for all less urgent statements of the upstream.

Change: the room is left for 100 ms. A timer for grants that is due earlier than the pending one is no longer dropped. connections_opened_total counts the connections of checks, too.

Result: TestSlowDialOfOneTeamDoesNotStopTheOthers, red without the bound.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -27,7 +27,6 @@
 		return
 	}
 	p.refusedDials, p.nextDialAt = 0, time.Time{}
-	p.metrics.Counter("connections_opened_total").Inc(1)
 	c := p.newConn(dialed, t)
 	if p.closed {
 		p.closeLocked(c)
@@ -39,6 +38,7 @@
 
 // newConn returns an opened connection that is already counted.
 func (p *pool) newConn(opened Conn, t *poolTeam) *conn {
+	p.metrics.Counter("connections_opened_total").Inc(1)
 	return &conn{Conn: opened, pool: p, team: t, values: map[string]string{}, prepared: map[string]bool{}}
 }
 
--- a/proxy/grant.go
+++ b/proxy/grant.go
@@ -7,6 +7,11 @@
 // costs the upstream 12 ms and a round trip.
 const ownReleaseWait = 40 * time.Millisecond
 
+// dialReserve is how long less urgent statements leave room for one whose
+// connection is being dialed. Opening takes 12 ms and up to two round trips of
+// 40 ms; a dial that takes longer has lost a packet or its host.
+const dialReserve = 100 * time.Millisecond
+
 // grantLocked gives idle connections to waiting statements, the most urgent
 // first, as far as the concurrency limit allows, and dials connections for the
 // others. Dials run in goroutines of their own, so that a connection is kept
@@ -91,7 +96,7 @@
 	switch {
 	case t.claimedDials < t.dialing:
 		t.claimedDials++
-		r.reserved++
+		r.reserve(t)
 	case p.closed:
 		r.idleOnly = true
 	case r.at.Before(p.nextDialAt):
@@ -104,14 +109,27 @@
 		p.grantAfterLocked(ownReleaseWait - waited)
 	case p.makeRoomLocked(r.at):
 		t.claimedDials++
-		r.reserved++
-		p.startDialLocked(t)
+		p.startDialLocked(t, r.at)
+		r.reserve(t)
 	default:
 		r.idleOnly = true
 	}
 }
 
-func (p *pool) startDialLocked(t *poolTeam) {
+// reserve leaves room for a waiter whose connection is being dialed.
+func (r *grantRound) reserve(t *poolTeam) {
+	if t.name == "" {
+		r.reserved++
+		return
+	}
+	if dialedFor := r.at.Sub(t.dialedAt); dialedFor < dialReserve {
+		r.reserved++
+		r.pool.grantAfterLocked(dialReserve - dialedFor)
+	}
+}
+
+func (p *pool) startDialLocked(t *poolTeam, at time.Time) {
+	t.dialedAt = at
 	p.open++
 	p.dialing++
 	t.open++
@@ -135,16 +153,20 @@
 	}
 }
 
-// grantAfterLocked calls grantLocked after a time, unless a timer is set already.
+// grantAfterLocked calls grantLocked after a time, unless that will be called
+// earlier.
 func (p *pool) grantAfterLocked(wait time.Duration) {
-	if p.grantTimerSet {
+	due := now().Add(wait)
+	if !p.grantTimerAt.IsZero() && !due.Before(p.grantTimerAt) {
 		return
 	}
-	p.grantTimerSet = true
+	p.grantTimerAt = due
 	time.AfterFunc(wait, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.grantTimerSet = false
+		if p.grantTimerAt.Equal(due) {
+			p.grantTimerAt = time.Time{}
+		}
 		p.grantLocked()
 	})
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -56,8 +56,8 @@
 	teams map[string]*poolTeam
 	// rounds and rankings number the calls of grantLocked and rankIdleLocked.
 	rounds, rankings uint64
-	// grantTimerSet is set while a timer is pending that calls grantLocked.
-	grantTimerSet bool
+	// grantTimerAt is when the next timer calls grantLocked; zero for none.
+	grantTimerAt time.Time
 
 	serviceTime float64 // milliseconds
 	// minRTT is the shortest recent time until an answer, which is about the
--- a/proxy/teamconns.go
+++ b/proxy/teamconns.go
@@ -28,7 +28,9 @@
 	// connections in these states.
 	open, idle, inFlight, dialing int
 	waiting                       int
-	usage                         usage
+	// dialedAt is when the team's last dial began.
+	dialedAt time.Time
+	usage    usage
 	// round is the round of grants to which claimedDials and claimedReleases
 	// belong: the dials and the statements in flight that waiters count on.
 	round                         uint64
--- a/proxy/teamconns_test.go
+++ b/proxy/teamconns_test.go
@@ -23,6 +23,7 @@
 	open, dials int
 	cap         int // connections that it accepts
 	unreachable bool
+	slowTeam    string        // whose dials lose a packet
 	closeDelay  time.Duration // until a closed connection no longer counts
 }
 
@@ -36,6 +37,9 @@
 
 func (u *teamUpstream) Dial(_ context.Context, _ *pb.SiteUpstream, team string) (Conn, error) {
 	time.Sleep(teamDialTime)
+	if team == u.slowTeam {
+		time.Sleep(dialTimeout - 2*teamDialTime)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
@@ -223,6 +227,26 @@
 	})
 }
 
+// Guards against a dial that takes long and keeps less urgent statements of all other
+// teams waiting, because room is left for its statement.
+func TestSlowDialOfOneTeamDoesNotStopTheOthers(t *testing.T) {
+	inVirtualTime(t, 4, func(p *pool, u *teamUpstream) {
+		p.release(mustAcquire(t, p, "a"))
+		p.concurrency = concurrencyLimit{limit: 1, fixed: true}
+		u.slowTeam = "slow"
+		var slow sync.WaitGroup
+		slow.Go(func() { p.release(mustAcquire(t, p, "slow")) })
+		time.Sleep(2 * dialReserve)
+		begun := now()
+		lessUrgent := urgency{arrivedAt: begun, target: time.Second, priority: 1}
+		c, err := p.acquire(context.Background(), lessUrgent, "a", 10*time.Second)
+		assert.NilError(t, err)
+		p.release(c)
+		assert.Check(t, now().Sub(begun) <= dialReserve, "waited %v", now().Sub(begun))
+		slow.Wait()
+	})
+}
+
 // Guards against own commands that open connections, and so take those of teams.
 func TestOwnCommandsUseTheConnectionOfAnyTeam(t *testing.T) {
 	inVirtualTime(t, 1, func(p *pool, u *teamUpstream) {
