--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -26,7 +26,6 @@
 		return
 	}
 	p.pacer.onSuccess(now(), p.open-p.dialing)
-	p.metrics.Counter("connections_opened_total").Inc(1)
 	c := p.newConn(dialed, t)
 	if p.closed {
 		p.closeLocked(c)
@@ -38,6 +37,7 @@
 
 // newConn returns an opened connection that is already counted.
 func (p *pool) newConn(opened Conn, t *poolTeam) *conn {
+	p.metrics.Counter("connections_opened_total").Inc(1)
 	return &conn{Conn: opened, pool: p, team: t, values: map[string]string{}, prepared: map[string]bool{}}
 }
 
