Choose upstreams without allocations

Cause: the choice by weight took a bounded read to 15 allocations; TestForwardedStatementAllocates allows fewer than 10, because garbage collection would cost as much as forwarding on a narrow host.

Change: candidates and weights stay on the stack for up to 8 upstreams; the counters are made once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,7 +91,8 @@
 	if len(candidates) == 1 {
 		return 0, OnlyOne
 	}
-	weights := weigh(candidates)
+	var room [usualCandidates]float64
+	weights := weigh(candidates, room[:0])
 	total := 0.0
 	for _, w := range weights {
 		total += w
@@ -111,10 +112,16 @@
 	return chosen, Nearest
 }
 
-// weigh returns how likely each candidate is chosen, in relation to the others.
-func weigh(candidates []Candidate) []float64 {
-	expected := expect(candidates)
-	weights := make([]float64, len(candidates))
+// usualCandidates is how many candidates are weighed without an allocation.
+const usualCandidates = 8
+
+// weigh appends to weights how likely each candidate is chosen, in relation to the others.
+func weigh(candidates []Candidate, weights []float64) []float64 {
+	var room [usualCandidates]expectation
+	expected := expect(candidates, room[:0])
+	for range candidates {
+		weights = append(weights, 0)
+	}
 	share := 1.0
 	for distance := nearest(candidates); ; {
 		next := math.MaxInt
@@ -160,20 +167,20 @@
 	return min(max(full, slow, 0), 1)
 }
 
-// expect weighs each figure by its age against the mean of all.
-func expect(candidates []Candidate) []expectation {
+// expect weighs each figure by its age against the mean of all, and appends what follows
+// to expected.
+func expect(candidates []Candidate, expected []expectation) []expectation {
 	var load, answer mean
 	for _, c := range candidates {
 		load.add(c.Outstanding/c.Capacity, trust(c.LoadAge, loadHalfTrust))
 		answer.add(c.AnswerTime.Seconds(), trust(c.AnswerAge, answerHalfTrust))
 	}
-	expected := make([]expectation, len(candidates))
-	for i, c := range candidates {
-		expected[i] = expectation{
+	for _, c := range candidates {
+		expected = append(expected, expectation{
 			load:   load.unless(c.Outstanding/c.Capacity, trust(c.LoadAge, loadHalfTrust)) + float64(c.SentSince)/c.Capacity,
 			answer: answer.unless(c.AnswerTime.Seconds(), trust(c.AnswerAge, answerHalfTrust)) + c.Overhead.Seconds(),
 			free:   max(c.Free, minFree),
-		}
+		})
 	}
 	return expected
 }
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"lovageslip/balance"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/site"
@@ -18,8 +20,14 @@
 	upstream *pb.SiteUpstream
 	pool     *pool
 	primary  bool
+	// known and backingOff are the proxy's estimate for the choice.
+	known      balance.Candidate
+	backingOff bool
 }
 
+// usualUpstreams is how many upstreams of a group are considered without an allocation.
+const usualUpstreams = 8
+
 // chooseForRead returns an upstream for a read that needs minPosition. Package balance
 // decides among those that fit. An upstream that has just failed is chosen only if
 // excluded leaves no other, and one that is likely to lack the position is never chosen.
@@ -27,20 +35,24 @@
 // time, and others that refuse now will soon have room. It gets none at all once its
 // leaving period is over.
 func (p *Proxy) chooseForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) (candidate, bool) {
-	fitting, known := p.fittingForRead(g, minPosition, excluded)
+	var room [usualUpstreams]candidate
+	fitting := p.fittingForRead(g, minPosition, excluded, room[:0])
 	if len(fitting) == 0 {
 		return candidate{}, false
 	}
+	var knownRoom [usualUpstreams]balance.Candidate
+	known := knownRoom[:0]
+	for _, c := range fitting {
+		known = append(known, c.known)
+	}
 	chosen, reason := balance.Choose(known, rand.Float64)
-	p.countChoice(reason, known[chosen])
+	p.choices.count(reason, known[chosen])
 	return fitting[chosen], true
 }
 
-// fittingForRead returns the upstreams that may serve a read, and what is known of each.
-// Those that have just failed or refused a statement are left out if there are others.
-func (p *Proxy) fittingForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) ([]candidate, []balance.Candidate) {
-	var fitting, backingOff []candidate
-	var known, knownBackingOff []balance.Candidate
+// fittingForRead appends to fitting the upstreams that may serve a read. Those that have
+// just failed or refused a statement are left out if there are others.
+func (p *Proxy) fittingForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool, fitting []candidate) []candidate {
 	allLeaving := !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool { return !u.Leaving })
 	for _, u := range g.Upstreams {
 		if excluded[u.Id] || (u.Leaving && !allLeaving) {
@@ -50,26 +62,22 @@
 		if !ok || !pl.takesNewWork() {
 			continue
 		}
-		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
 		e := pl.estimate(minPosition)
+		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary, known: e.known, backingOff: e.backingOff}
 		// The primary holds every position.
 		if e.behind && !c.primary {
 			continue
 		}
-		e.known.Distance = rank(p.distanceTo(u), e.known)
+		c.known.Distance = rank(p.distanceTo(u), e.known)
 		if c.primary {
-			e.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
+			c.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
 		}
-		if e.backingOff {
-			backingOff, knownBackingOff = append(backingOff, c), append(knownBackingOff, e.known)
-			continue
-		}
-		fitting, known = append(fitting, c), append(known, e.known)
+		fitting = append(fitting, c)
 	}
-	if len(fitting) == 0 {
-		return backingOff, knownBackingOff
+	if !slices.ContainsFunc(fitting, func(c candidate) bool { return !c.backingOff }) {
+		return fitting
 	}
-	return fitting, known
+	return slices.DeleteFunc(fitting, func(c candidate) bool { return c.backingOff })
 }
 
 // rank orders upstreams by distance, and at equal distance those to which a scarce
@@ -83,10 +91,34 @@
 	return r
 }
 
-func (p *Proxy) countChoice(reason balance.Reason, known balance.Candidate) {
-	p.metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total").Inc(1)
+// choiceMetrics counts the choices for reads. Its parts are made once, because each look-up
+// by tags allocates.
+type choiceMetrics struct {
+	onlyOne, nearest, spread tally.Counter
+	loadAge                  tally.Timer
+}
+
+func newChoiceMetrics(scope tally.Scope) choiceMetrics {
+	choices := func(reason balance.Reason) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total")
+	}
+	return choiceMetrics{
+		onlyOne: choices(balance.OnlyOne), nearest: choices(balance.Nearest), spread: choices(balance.Spread),
+		loadAge: scope.Timer("load_figure_age_seconds"),
+	}
+}
+
+func (m *choiceMetrics) count(reason balance.Reason, known balance.Candidate) {
+	switch reason {
+	case balance.OnlyOne:
+		m.onlyOne.Inc(1)
+	case balance.Nearest:
+		m.nearest.Inc(1)
+	default:
+		m.spread.Inc(1)
+	}
 	if known.LoadAge != balance.Unknown {
-		p.metrics.Timer("load_figure_age_seconds").Record(known.LoadAge)
+		m.loadAge.Record(known.LoadAge)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -71,6 +71,7 @@
 	options        Options
 	log            *slog.Logger
 	metrics        tally.Scope
+	choices        choiceMetrics
 	view           atomic.Pointer[site.View]
 	operationTimes operationTimes
 	// sampling allows one request for a sample at a time to the primary of
@@ -116,6 +117,7 @@
 		relayedPools: make(map[poolKey]*pool),
 		groups:       make(map[string]*group),
 	}
+	p.choices = newChoiceMetrics(p.metrics)
 	p.view.Store(site.NewView(site.ViewParts{}))
 	return p
 }
