--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,7 +12,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -92,8 +91,8 @@
 	if len(candidates) == 1 {
 		return 0, OnlyOne
 	}
-	var first [FewCandidates]float64
-	weights := weigh(first[:0], candidates)
+	var room [usualCandidates]float64
+	weights := weigh(candidates, room[:0])
 	total := 0.0
 	for _, w := range weights {
 		total += w
@@ -113,16 +112,16 @@
 	return chosen, Nearest
 }
 
-// FewCandidates is the number of candidates up to which a choice allocates nothing.
-const FewCandidates = 4
+// usualCandidates is how many candidates are weighed without an allocation.
+const usualCandidates = 8
 
-// weigh returns how likely each candidate is chosen, in relation to the others. It uses
-// the buffer if there is room.
-func weigh(buffer []float64, candidates []Candidate) []float64 {
-	var first [FewCandidates]expectation
-	expected := expect(first[:0], candidates)
-	weights := slices.Grow(buffer, len(candidates))[:len(candidates)]
-	clear(weights)
+// weigh appends to weights how likely each candidate is chosen, in relation to the others.
+func weigh(candidates []Candidate, weights []float64) []float64 {
+	var room [usualCandidates]expectation
+	expected := expect(candidates, room[:0])
+	for range candidates {
+		weights = append(weights, 0)
+	}
 	share := 1.0
 	for distance := nearest(candidates); ; {
 		next := math.MaxInt
@@ -168,8 +167,9 @@
 	return min(max(full, slow, 0), 1)
 }
 
-// expect appends what is expected of each candidate. It weighs each figure by its age against the mean of all.
-func expect(expected []expectation, candidates []Candidate) []expectation {
+// expect weighs each figure by its age against the mean of all, and appends what follows
+// to expected.
+func expect(candidates []Candidate, expected []expectation) []expectation {
 	var load, answer mean
 	for _, c := range candidates {
 		load.add(c.Outstanding/c.Capacity, trust(c.LoadAge, loadHalfTrust))
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -20,8 +20,14 @@
 	upstream *pb.SiteUpstream
 	pool     *pool
 	primary  bool
+	// known and backingOff are the proxy's estimate for the choice.
+	known      balance.Candidate
+	backingOff bool
 }
 
+// usualUpstreams is how many upstreams of a group are considered without an allocation.
+const usualUpstreams = 8
+
 // chooseForRead returns an upstream for a read that needs minPosition. Package balance
 // decides among those that fit. An upstream that has just failed is chosen only if
 // excluded leaves no other, and one that is likely to lack the position is never chosen.
@@ -29,42 +35,24 @@
 // time, and others that refuse now will soon have room. It gets none at all once its
 // leaving period is over.
 func (p *Proxy) chooseForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) (candidate, bool) {
-	var ready, backingOff candidates
-	ready.init()
-	backingOff.init()
-	p.findCandidates(g, minPosition, excluded, &ready, &backingOff)
-	from := &ready
-	if len(from.upstreams) == 0 {
-		from = &backingOff
-	}
-	if len(from.upstreams) == 0 {
+	var room [usualUpstreams]candidate
+	fitting := p.fittingForRead(g, minPosition, excluded, room[:0])
+	if len(fitting) == 0 {
 		return candidate{}, false
 	}
-	chosen, reason := balance.Choose(from.known, rand.Float64)
-	p.countChoice(reason, from.known[chosen])
-	return from.upstreams[chosen], true
-}
-
-// candidates are upstreams that may serve a read, and what is known of each. The slices
-// begin in the arrays, so that a choice among few upstreams allocates nothing.
-type candidates struct {
-	upstreams      []candidate
-	known          []balance.Candidate
-	firstUpstreams [balance.FewCandidates]candidate
-	firstKnown     [balance.FewCandidates]balance.Candidate
-}
-
-func (c *candidates) init() {
-	c.upstreams, c.known = c.firstUpstreams[:0], c.firstKnown[:0]
-}
-
-func (c *candidates) add(u candidate, known balance.Candidate) {
-	c.upstreams, c.known = append(c.upstreams, u), append(c.known, known)
+	var knownRoom [usualUpstreams]balance.Candidate
+	known := knownRoom[:0]
+	for _, c := range fitting {
+		known = append(known, c.known)
+	}
+	chosen, reason := balance.Choose(known, rand.Float64)
+	p.choices.count(reason, known[chosen])
+	return fitting[chosen], true
 }
 
-// findCandidates finds the upstreams that may serve a read. Those that have just failed
-// or refused a statement are kept apart.
-func (p *Proxy) findCandidates(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool, ready, backingOff *candidates) {
+// fittingForRead appends to fitting the upstreams that may serve a read. Those that have
+// just failed or refused a statement are left out if there are others.
+func (p *Proxy) fittingForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool, fitting []candidate) []candidate {
 	allLeaving := !slices.ContainsFunc(g.Upstreams, func(u *pb.SiteUpstream) bool { return !u.Leaving })
 	for _, u := range g.Upstreams {
 		if excluded[u.Id] || (u.Leaving && !allLeaving) {
@@ -74,36 +62,22 @@
 		if !ok || !pl.takesNewWork() {
 			continue
 		}
-		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary}
 		e := pl.estimate(minPosition)
+		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary, known: e.known, backingOff: e.backingOff}
 		// The primary holds every position.
 		if e.behind && !c.primary {
 			continue
 		}
-		e.known.Distance = rank(p.distanceTo(u), e.known)
+		c.known.Distance = rank(p.distanceTo(u), e.known)
 		if c.primary {
-			e.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
-		}
-		if e.backingOff {
-			backingOff.add(c, e.known)
-			continue
+			c.known.Free = p.group(g.Name).mix.free(len(g.Upstreams) - 1)
 		}
-		ready.add(c, e.known)
+		fitting = append(fitting, c)
 	}
-}
-
-// choiceMetrics are the metrics of choices, which are made for each read.
-type choiceMetrics struct {
-	reasons map[balance.Reason]tally.Counter
-	loadAge tally.Timer
-}
-
-func newChoiceMetrics(scope tally.Scope) choiceMetrics {
-	m := choiceMetrics{reasons: make(map[balance.Reason]tally.Counter), loadAge: scope.Timer("load_figure_age_seconds")}
-	for _, reason := range []balance.Reason{balance.OnlyOne, balance.Nearest, balance.Spread} {
-		m.reasons[reason] = scope.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total")
+	if !slices.ContainsFunc(fitting, func(c candidate) bool { return !c.backingOff }) {
+		return fitting
 	}
-	return m
+	return slices.DeleteFunc(fitting, func(c candidate) bool { return c.backingOff })
 }
 
 // rank orders upstreams by distance, and at equal distance those to which a scarce
@@ -117,10 +91,34 @@
 	return r
 }
 
-func (p *Proxy) countChoice(reason balance.Reason, known balance.Candidate) {
-	p.choices.reasons[reason].Inc(1)
+// choiceMetrics counts the choices for reads. Its parts are made once, because each look-up
+// by tags allocates.
+type choiceMetrics struct {
+	onlyOne, nearest, spread tally.Counter
+	loadAge                  tally.Timer
+}
+
+func newChoiceMetrics(scope tally.Scope) choiceMetrics {
+	choices := func(reason balance.Reason) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": string(reason)}).Counter("read_choices_total")
+	}
+	return choiceMetrics{
+		onlyOne: choices(balance.OnlyOne), nearest: choices(balance.Nearest), spread: choices(balance.Spread),
+		loadAge: scope.Timer("load_figure_age_seconds"),
+	}
+}
+
+func (m *choiceMetrics) count(reason balance.Reason, known balance.Candidate) {
+	switch reason {
+	case balance.OnlyOne:
+		m.onlyOne.Inc(1)
+	case balance.Nearest:
+		m.nearest.Inc(1)
+	default:
+		m.spread.Inc(1)
+	}
 	if known.LoadAge != balance.Unknown {
-		p.choices.loadAge.Record(known.LoadAge)
+		m.loadAge.Record(known.LoadAge)
 	}
 }
 
--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -87,7 +87,7 @@
 // version, sends no figures that would replace the count of what was sent since.
 func TestRelayWithoutFiguresDoesNotLookFull(t *testing.T) {
 	pl := newRelayedPool(struct{ Relays }{}, &pb.SiteUpstream{Id: "r1"})
-	c := &conn{pool: pl, Conn: &fakeConn{}}
+	c := pl.newConn(&fakeConn{}, pl.teamLocked(""))
 	for range 50 {
 		pl.resume(c)
 		c.recordLoad()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -82,9 +82,9 @@
 	options        Options
 	log            *slog.Logger
 	metrics        tally.Scope
+	choices        choiceMetrics
 	view           atomic.Pointer[site.View]
 	operationTimes operationTimes
-	choices        choiceMetrics
 	// sampling allows one request for a sample at a time to the primary of
 	// each group, and one to a control host, under the empty key.
 	sampling singleflight.Group
