Begin anew where a counter stands in a second time

Change: a bucket that has counted nothing for a window is replaced if another counter may have counted since.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -103,7 +103,7 @@
 	l.sweepLocked(now)
 	t := l.termsOf(limit, share)
 	b, ok := l.buckets[team]
-	if !ok {
+	if !ok || l.mayHaveMissed(b, share, now) {
 		b = newBucket(share.countsSince(now), t, l.options.Window)
 		l.buckets[team] = b
 	}
@@ -116,6 +116,12 @@
 	return admitted, retryAfter
 }
 
+// mayHaveMissed reports whether another counter may have admitted what counts now
+// instead of a bucket that has counted nothing for a window.
+func (l *Limiter) mayHaveMissed(b *bucket, share Share, now time.Time) bool {
+	return now.Sub(b.refilledAt) >= l.options.Window && share.countsSince(now).After(b.refilledAt)
+}
+
 // Len returns the number of buckets.
 func (l *Limiter) Len() int {
 	l.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -135,6 +135,20 @@
 	assert.Equal(t, l.Len(), 1)
 }
 
+// Guards against a counter that stands in a second time, with a bucket that has filled
+// up while another one counted.
+func TestCounterThatStandsInAgainBeginsAnew(t *testing.T) {
+	l := New(tolerance)
+	limit := Limit{RatePerSecond: 100, Burst: 100}
+	first, _ := l.Admit(epoch, "a", limit, Fixed(1), 1000)
+	again, _ := l.Admit(epoch.Add(20*time.Second), "a", limit, Fixed(1), 1000)
+	assert.Equal(t, again, first)
+	steady := Fixed(1)
+	steady.Since = epoch
+	full, _ := l.Admit(epoch.Add(40*time.Second), "a", limit, steady, 1000)
+	assert.Assert(t, full >= 100, "%d admitted", full)
+}
+
 // Guards against a clock that seems to go backwards between two callers.
 func TestEarlierTimeAddsNothing(t *testing.T) {
 	l := New(Options{})
