Relays of sites with many teams leave room for checks and substitutes

Relays that serve more teams than they have connections keep all of them open: six times 21 and the control hosts' fill the cap of 131, and each refused dial paused the dials of all teams, up to 1 s if the pool had connections of others.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		p.open--
 		t.open--
-		p.recordDialFailureLocked(err)
+		p.recordDialFailureLocked(err, t.open-t.dialing)
 		p.failAfterDialLocked(t, err)
 		return
 	}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -58,12 +58,14 @@
 	return errors.As(err, &refused) && refused.Code != CodeWrongUpstream
 }
 
-func (p *pool) recordDialFailureLocked(err error) {
+// recordDialFailureLocked records a failed dial of a pool, or of a team in it, that has
+// so many connections open.
+func (p *pool) recordDialFailureLocked(err error, open int) {
 	if noRoom(err) {
 		// The upstream is reachable but has no free connection or slot.
 		p.lastAnswerAt = now()
 		p.backoffUntil = now().Add(backoffMin)
-		p.pacer.onRefusal(now(), p.open-p.dialing)
+		p.pacer.onRefusal(now(), open)
 		return
 	}
 	// A backoff is not extended, so that the check which is due after it can look for
@@ -317,7 +319,7 @@
 	defer p.mu.Unlock()
 	p.checking = false
 	if err != nil {
-		p.recordDialFailureLocked(err)
+		p.recordDialFailureLocked(err, p.open-p.dialing)
 		return
 	}
 	p.recordAnswerLocked(now(), since(begunAt))
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -168,11 +168,11 @@
 func (p *Proxy) directQuota(g *site.GroupView, key poolKey, homeID string, useRelays bool, proxies int) connectionQuota {
 	switch {
 	case useRelays && p.options.Relays.HasRelay(key.id) && p.pools[key].relayedLately():
-		return substituteQuota(g.MaxConnections, len(p.options.Regions))
+		return substituteQuota(p.relayQuota(g))
 	case useRelays && p.options.Relays.HasRelay(key.id):
 		return fallbackQuota
 	case useRelays:
-		return relayQuota(g.MaxConnections, len(p.options.Regions))
+		return p.relayQuota(g)
 	case key.id == homeID:
 		return homeQuota(g, proxies)
 	default:
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -31,6 +31,20 @@
 	return connectionQuota{limit: max(each, scarceConnections), idleTimeout: idleTimeout}
 }
 
+// teamsRelayShare is the part of its connections that a relay uses on a site with more
+// teams than that. Such a relay always has all of them open, while elsewhere most are
+// unused. The rest is for proxies that relay in its place, and for checks.
+const teamsRelayShare = 0.85
+
+// relayQuota returns this proxy's quota as the relay of a group's upstreams.
+func (p *Proxy) relayQuota(g *site.GroupView) connectionQuota {
+	quota := relayQuota(g.MaxConnections, len(p.options.Regions))
+	if p.View().TeamCount > quota.limit {
+		quota.limit = max(int(teamsRelayShare*float64(quota.limit)), scarceConnections)
+	}
+	return quota
+}
+
 const (
 	// reservedConnections of an upstream are kept for the control hosts.
 	reservedConnections = 4
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -199,7 +199,7 @@
 		p.failures, p.backoffUntil = 0, time.Time{}
 		p.lastAnswerAt = now()
 	case err != nil && !errors.As(err, &lost):
-		p.recordDialFailureLocked(err)
+		p.recordDialFailureLocked(err, p.open-p.dialing)
 	}
 }
 
--- a/proxy/substitute.go
+++ b/proxy/substitute.go
@@ -27,8 +27,7 @@
 // substituteQuota returns the quota of a proxy that relays in the place of a relay
 // which other proxies may still use. Both together stay within one and a half times
 // the share of a data centre.
-func substituteQuota(connections, dataCentres int) connectionQuota {
-	full := relayQuota(connections, dataCentres)
+func substituteQuota(full connectionQuota) connectionQuota {
 	return connectionQuota{limit: max(full.limit/2, scarceConnections), idleTimeout: surplusIdleTimeout}
 }
 
@@ -76,7 +75,7 @@
 	defer p.mu.Unlock()
 	p.checking = false
 	if err != nil {
-		p.recordDialFailureLocked(err)
+		p.recordDialFailureLocked(err, p.open-p.dialing)
 		return
 	}
 	p.recordAnswerLocked(now(), since(begunAt))
