Control hosts remember since when they count; design note of the counters for the site

A control host that was up for a window knows that a team it has not seen has sent nothing. Ruled out: shares by demand in the replicated log (growing waits for the age of the oldest view, 5 s), one proxy for the site (its list would have to be agreed on), free admission until the sum passes the limit (a hot team passes the bound before it is known).

--- a/sitecontrol/limits.go
+++ b/sitecontrol/limits.go
@@ -27,6 +27,7 @@
 		return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
 	}
 	share := quota.Fixed(1)
+	share.Since = s.startedAt
 	if r.Msg.Substitute {
 		share = quota.Fixed(substitutePart)
 	}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -109,8 +109,9 @@
 	log     *slog.Logger
 	metrics tally.Scope
 	clients *Clients
-	// limiter counts the operations of teams for the whole site.
-	limiter *quota.Limiter
+	// limiter counts the operations of teams for the whole site since startedAt.
+	limiter   *quota.Limiter
+	startedAt time.Time
 
 	// admitMu is held while a host is added to the members.
 	admitMu sync.Mutex
@@ -167,6 +168,7 @@
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
 		limiter:       quota.New(o.Quota),
+		startedAt:     now(),
 		reports:       make(map[string]report),
 		watches:       make(map[string]uint64),
 		relays:        make(map[string][]*pb.RelayHost),
