Give up a relay only after its own check, and check on time

Change: a proxy looks around after the relay has failed for 500 ms, in which its own check ends; one that relays only while others are avoided is a substitute with half a share; after the first failure only checks extend a backoff.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -21,7 +21,11 @@
 	if err != nil {
 		p.open--
 		t.open--
-		p.recordDialFailureLocked(err, t.open-t.dialing)
+		if noRoom(err) || p.failures == 0 {
+			// After the first failure only checks extend the backoff: a statement
+			// that dials as soon as it is over would delay them again and again.
+			p.recordDialFailureLocked(err, t.open-t.dialing)
+		}
 		p.failAfterDialLocked(t, err)
 		return
 	}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -68,11 +68,7 @@
 		p.pacer.onRefusal(now(), open)
 		return
 	}
-	// A backoff is not extended, so that the check which is due after it can look for
-	// another relay although statements go on asking for connections.
-	if !now().Before(p.backoffUntil) {
-		p.recordFailureLocked()
-	}
+	p.recordFailureLocked()
 }
 
 // recordFailureLocked records that the upstream did not answer, or is not the
@@ -103,12 +99,12 @@
 	}
 }
 
-// recordUnreachable records that a relay could not connect to the upstream. It does
-// not extend a backoff, after which the upstream is checked.
+// recordUnreachable records that a relay could not connect to the upstream. Only
+// checks extend a backoff, so that none is delayed by statements.
 func (p *pool) recordUnreachable() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !now().Before(p.backoffUntil) {
+	if p.failures == 0 {
 		p.recordFailureLocked()
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -171,6 +171,8 @@
 		return substituteQuota(p.relayQuota(g))
 	case useRelays && p.options.Relays.HasRelay(key.id):
 		return fallbackQuota
+	case useRelays && p.options.Relays.IsSubstitute(key.id):
+		return substituteQuota(p.relayQuota(g))
 	case useRelays:
 		return p.relayQuota(g)
 	case key.id == homeID:
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -23,6 +23,9 @@
 	// HasRelay reports whether another proxy is the relay for an upstream. If
 	// not, this proxy is the relay.
 	HasRelay(upstreamID string) bool
+	// IsSubstitute reports whether this proxy is the relay for an upstream only as
+	// long as others are avoided. These go on relaying for other proxies.
+	IsSubstitute(upstreamID string) bool
 	// Dial opens a virtual connection. The upstream's own errors follow with
 	// the first Exchange, as CodeNoConnection and CodeUnreachable. The error
 	// of a connection whose relay fails is *RelayLost.
@@ -188,7 +191,9 @@
 	reached := err == nil && reachability == Reachable
 	if err == nil && reachability == Unreachable {
 		p.recordFailedFor(failedFor)
-		reached, err = p.lookAround(u, failedFor >= searchAfter)
+	}
+	if err == nil && reachability == Unreachable && failedFor >= searchAfter {
+		reached, err = p.lookAround(u)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -203,17 +208,15 @@
 	}
 }
 
-// lookAround finds out whether this proxy or, with search, another one reaches an
-// upstream that the relay does not reach. Both are tried at once, because a host that
-// is cut off doesn't answer until the timeout.
-func (p *pool) lookAround(u *pb.SiteUpstream, search bool) (reached bool, err error) {
+// lookAround finds out whether this proxy or another one reaches an upstream that the
+// relay does not reach. Both are tried at once, because a host that is cut off doesn't
+// answer until the timeout.
+func (p *pool) lookAround(u *pb.SiteUpstream) (reached bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	var others conc.WaitGroup
 	found := false
-	if search {
-		others.Go(func() { found = p.relays.FindRelay(ctx, u) })
-	}
+	others.Go(func() { found = p.relays.FindRelay(ctx, u) })
 	err = p.tryDirectly(ctx, u)
 	others.Wait()
 	switch {
--- a/proxy/substitute.go
+++ b/proxy/substitute.go
@@ -19,8 +19,8 @@
 // trips of up to 40 ms and 12 ms of a slot.
 const probeTimeout = 200 * time.Millisecond
 
-// searchAfter is how long an upstream must have failed before another relay is looked
-// for. A failure may be one statement that took too long; the relay's own check, which
+// searchAfter is how long an upstream must have failed at its relay before another one
+// is looked for. A failure may be one statement that took too long; the relay's own check, which
 // follows within 100 ms and takes up to checkTimeout, then finds the upstream well.
 const searchAfter = 500 * time.Millisecond
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -132,6 +132,22 @@
 // HasRelay implements proxy.Relays.
 func (c *Client) HasRelay(upstreamID string) bool { return c.relay(upstreamID) != nil }
 
+// IsSubstitute implements proxy.Relays.
+func (c *Client) IsSubstitute(upstreamID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relayLocked(upstreamID) != nil {
+		return false
+	}
+	own := score(c.options.Name, upstreamID)
+	for _, p := range c.peers {
+		if !p.leaving && score(p.host.Name, upstreamID) > own {
+			return true
+		}
+	}
+	return false
+}
+
 // relay returns the relay of an upstream, or nil if that is this proxy itself.
 func (c *Client) relay(upstreamID string) *peer {
 	c.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -438,6 +438,22 @@
 	}
 }
 
+// Guards against upstreams without room: a proxy that avoids the relay for a while takes
+// the connections of a whole data centre beside it.
+func TestProxyThatAvoidsTheRelayIsASubstitute(t *testing.T) {
+	s := newFakeSite(t, 2, 4)
+	relay := s.relayFor("p1")
+	assert.Assert(t, !relay.client.IsSubstitute("p1"))
+	for _, p := range s.proxies {
+		if p == relay {
+			continue
+		}
+		assert.Assert(t, !p.client.IsSubstitute("p1"), "it has a relay")
+		p.client.Avoid("p1")
+		assert.Assert(t, p.client.IsSubstitute("p1"))
+	}
+}
+
 // Guards against proxies that all dial an upstream themselves once it is back, because
 // each has given up all others as relays while it was down.
 func TestRelaysKeepTheirPlaceWhileAnUpstreamIsDown(t *testing.T) {
