--- /dev/null
+++ b/relay/sitecounter_test.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakeCounters are control hosts that grant all they are asked for.
+type fakeCounters struct {
+	mu          sync.Mutex
+	down        map[string]bool
+	asked       []string
+	substitutes int
+	grant       func(operations int) int
+}
+
+func (f *fakeCounters) ask(address, _ string, operations int, substitute bool) (granted int, retryAfter time.Duration, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, address)
+	if f.down[address] {
+		return 0, 0, io.ErrUnexpectedEOF
+	}
+	if substitute {
+		f.substitutes++
+	}
+	if f.grant != nil {
+		operations = f.grant(operations)
+	}
+	return operations, time.Second, nil
+}
+
+var controlAddresses = []string{"c1", "c2", "c3"}
+
+// Guards against a team that is refused below its limit, or admitted twice, while the
+// control host that counts it is lost.
+func TestLostControlHostIsReplacedAsCounter(t *testing.T) {
+	f := &fakeCounters{down: map[string]bool{}}
+	c := newSiteCounters(f.ask)
+	first := c.rank(controlAddresses, "team")[0]
+	f.down[first] = true
+	v, ok := c.admit(controlAddresses, "team", 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.admitted, 1)
+	assert.Equal(t, f.substitutes, 1)
+	_, ok = c.admit(controlAddresses, "team", 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(f.asked), 3, "the lost host is asked again before its time: %v", f.asked)
+	for _, address := range controlAddresses {
+		f.down[address] = true
+	}
+	_, ok = c.admit(controlAddresses, "another", 1)
+	assert.Assert(t, !ok, "no control host answers")
+}
+
+// Guards against a counter that asks a control host for each of the operations that a
+// team sends beyond its limit.
+func TestRefusedTeamIsNotAskedForAgainAtOnce(t *testing.T) {
+	f := &fakeCounters{grant: func(int) int { return 0 }}
+	c := newSiteCounters(f.ask)
+	for range 100 {
+		v, ok := c.admit(controlAddresses, "team", 1)
+		assert.Assert(t, ok)
+		assert.Equal(t, v.admitted, 0)
+		assert.Equal(t, v.retryAfter, time.Second)
+	}
+	assert.Assert(t, len(f.asked) < 10, "%d requests", len(f.asked))
+}
+
+// Guards against operations that are admitted twice from one reserve.
+func TestOperationsAtTheSameTimeShareAReserve(t *testing.T) {
+	granted := 0
+	f := &fakeCounters{}
+	f.grant = func(operations int) int {
+		granted += operations
+		return operations
+	}
+	c := newSiteCounters(f.ask)
+	var done sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	for range 50 {
+		done.Go(func() {
+			v, ok := c.admit(controlAddresses, "team", 1)
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Check(t, ok)
+			total += v.admitted
+		})
+	}
+	done.Wait()
+	assert.Equal(t, total, 50)
+	assert.Assert(t, granted >= total)
+}
