A relay of few proxies has few connections

Change: on sites with many teams the share of a relay is that of the proxies on its list. Ruled out: avoided relays (4 in 14 s on all proxies).

--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -39,12 +39,20 @@
 // relayQuota returns this proxy's quota as the relay of a group's upstreams.
 func (p *Proxy) relayQuota(g *site.GroupView) connectionQuota {
 	quota := relayQuota(g.MaxConnections, len(p.options.Regions))
-	if p.View().TeamCount > quota.limit {
-		quota.limit = max(int(teamsRelayShare*float64(quota.limit)), scarceConnections)
+	if v := p.View(); v.TeamCount > quota.limit {
+		share := teamsRelayShare * listShare(len(v.Relays), v.Proxies, len(p.options.Regions))
+		quota.limit = max(int(share*float64(quota.limit)), scarceConnections)
 	}
 	return quota
 }
 
+// listShare returns which part of an average data centre's proxies a list holds, at most
+// 1. Proxies that watch another control host than their neighbours are on a list of
+// their own, and have relays of their own.
+func listShare(listed, proxies, dataCentres int) float64 {
+	return min(float64(listed*max(dataCentres, 1))/float64(max(proxies, 1)), 1)
+}
+
 const (
 	// reservedConnections of an upstream are kept for the control hosts.
 	reservedConnections = 4
--- a/proxy/quota_test.go
+++ b/proxy/quota_test.go
@@ -57,3 +57,13 @@
 		assert.Assert(t, n > 70, "%s is the home of %d of 200 proxies", id, n)
 	}
 }
+
+// Guards against a few proxies that watch another control host than their neighbours, and
+// whose relay takes as many connections as that of all others of the data centre.
+func TestRelayOfFewProxiesHasFewConnections(t *testing.T) {
+	const proxies, dataCentres = 120, 6
+	assert.Equal(t, listShare(20, proxies, dataCentres), 1.0)
+	assert.Equal(t, listShare(40, proxies, dataCentres), 1.0)
+	assert.Equal(t, listShare(2, proxies, dataCentres), 0.1)
+	assert.Equal(t, listShare(0, 0, 0), 0.0)
+}
