--- a/proxy/teamshare.go
+++ b/proxy/teamshare.go
@@ -49,8 +49,8 @@
 }
 
 // teamParts divides the statements that may be in flight among the teams by what
-// each has sent lately. A team whose load has just grown
-// has the part of its usual load.
+// each has sent lately. A team whose load has just grown has the part of its usual
+// load.
 type teamParts struct {
 	at    time.Time
 	room  float64
