A counter of a data centre waits long enough for two control hosts

Cause: a proxy waited 150 ms for the counter of a team, which waits up to 250 ms for each of two control hosts. Change: 120 ms for a control host, 300 ms for the counter. Ruled out by TestLargeHotTeamGetsItsLimit (passes before and after): that a large hot team gets a fraction of its limit because its data centres ask for too little.

--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -83,3 +83,49 @@
 	assert.Equal(t, taken, 0)
 	assert.Assert(t, !refused)
 }
+
+// Guards against a large hot team that gets a fraction of its limit: a data centre that was
+// refused asked for one operation at a time, a few times a second.
+func TestLargeHotTeamGetsItsLimit(t *testing.T) {
+	const dataCentres, roundTrip, step = 6, 40 * time.Millisecond, 5 * time.Millisecond
+	limit := Limit{RatePerSecond: 350, Burst: 350}
+	site := New(Options{Window: 5 * time.Second, Over: 0.1, Slack: 20})
+	start := time.Unix(1000, 0)
+	share := Fixed(1)
+	share.Since = start.Add(-time.Minute)
+	type centre struct {
+		reserve  Reserve
+		waiting  int
+		nextAsk  time.Time
+		admitted int
+	}
+	var centres [dataCentres]centre
+	const perStep = 7 // operations of a data centre: 1,400 a second, four times the limit in all
+	for now := start; now.Sub(start) < 15*time.Second; now = now.Add(step) {
+		for i := range centres {
+			c := &centres[i]
+			c.waiting += perStep / 6
+			if i == 0 {
+				c.waiting++
+			}
+			taken, refused, _ := c.reserve.Take(now, c.waiting)
+			c.admitted += taken
+			c.waiting -= taken
+			if refused {
+				c.waiting = 0
+			}
+			if c.waiting == 0 || now.Before(c.nextAsk) {
+				continue
+			}
+			c.nextAsk = now.Add(roundTrip)
+			want := c.reserve.Want(now, c.waiting)
+			granted, retryAfter := site.Admit(now, "team", limit, share, want)
+			c.reserve.Grant(now, now, want, granted, retryAfter)
+		}
+	}
+	total := 0
+	for _, c := range centres {
+		total += c.admitted
+	}
+	assert.Assert(t, float64(total) >= 0.95*limit.RatePerSecond*15, "%d of %v admitted", total, limit.RatePerSecond*15)
+}
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -23,9 +23,8 @@
 
 const (
 	// admitTimeout bounds one request to a counter, which is in the same data
-	// centre. It covers a counter that has used up its processor time for the
-	// rest of a tenth of a second.
-	admitTimeout = 150 * time.Millisecond
+	// centre. It covers a counter that asks two control hosts in vain.
+	admitTimeout = 300 * time.Millisecond
 	// maxCounters is how many counters are asked for an operation. Its caller
 	// waits meanwhile.
 	maxCounters = 2
--- a/sitecontrol/limits.go
+++ b/sitecontrol/limits.go
@@ -57,9 +57,9 @@
 
 func (e *UnknownTeam) Error() string { return "control: no team " + e.Team }
 
-// admitTimeout bounds a proxy's request for operations of a team. It covers a round
-// trip between regions and a lost packet.
-const admitTimeout = 250 * time.Millisecond
+// admitTimeout bounds a proxy's request for operations of a team, for which callers
+// wait. It covers three round trips between regions.
+const admitTimeout = 120 * time.Millisecond
 
 // Admit asks the control host at an address to grant operations of a team.
 func (c *Clients) Admit(address, team string, operations int, substitute bool) (granted int, retryAfter time.Duration, err error) {
