--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"errors"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -53,8 +53,8 @@
 	return &siteCounters{ask: ask, avoidUntil: make(map[string]time.Time), reserves: make(map[string]*teamReserve)}
 }
 
-// admit takes operations of a team from its reserve, and fills that first if they are
-// missing. It reports false if no control host answers.
+// admit takes operations of a team from its reserve, and fills that if they are missing.
+// It reports false if nothing could be taken because no control host answers.
 func (c *siteCounters) admit(addresses []string, team string, n int) (v verdict, ok bool) {
 	r := c.reserveOf(team)
 	v, done := r.take(n)
@@ -108,13 +108,9 @@
 
 // rank returns the addresses in the order in which they count for a team.
 func (c *siteCounters) rank(addresses []string, team string) []string {
+	key := counterKey(team)
 	ranked := slices.Clone(addresses)
-	slices.SortFunc(ranked, func(a, b string) int {
-		if score(a, counterKey(team)) > score(b, counterKey(team)) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(score(b, key), score(a, key)) })
 	return ranked
 }
 
@@ -127,8 +123,7 @@
 // recordFailure makes a control host not be asked for a while, unless it only lacks
 // the team so far.
 func (c *siteCounters) recordFailure(address string, err error) {
-	var unknown *connect.Error
-	if errors.As(err, &unknown) && unknown.Code() == connect.CodeNotFound {
+	if connect.CodeOf(err) == connect.CodeNotFound {
 		return
 	}
 	c.mu.Lock()
