--- a/proxy/substitute.go
+++ b/proxy/substitute.go
@@ -20,8 +20,9 @@
 const probeTimeout = 200 * time.Millisecond
 
 // searchAfter is how long an upstream must have failed at its relay before another one
-// is looked for. A failure may be one statement that took too long; the relay's own check, which
-// follows within 100 ms and takes up to checkTimeout, then finds the upstream well.
+// is looked for. A failure may be one statement that took too long; the relay's own
+// check, which follows within 100 ms and takes up to checkTimeout, then finds the
+// upstream well.
 const searchAfter = 500 * time.Millisecond
 
 // substituteQuota returns the quota of a proxy that relays in the place of a relay
@@ -50,7 +51,7 @@
 }
 
 // claimProbe reports whether nothing is known of the upstream and nobody is finding
-// out. If so, the caller must call check.
+// out. If so, the caller must call probe.
 func (p *pool) claimProbe() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
