Take granted operations of a team under the lock that adds them

A caller that had asked a control host added what was granted and took its part in two steps. Callers that came between the two took operations that were not asked for them, and the one that had asked was refused below its team's limit, without a time to come back.

Change: both steps happen under one lock.

--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -68,24 +68,38 @@
 	if done {
 		return v, true
 	}
-	if !c.fill(r, addresses, team, n-v.admitted) {
-		return v, v.admitted > 0
-	}
-	more, _ = r.take(n - v.admitted)
-	return verdict{v.admitted + more.admitted, more.retryAfter}, true
+	more, ok = c.fill(r, addresses, team, n-v.admitted)
+	return verdict{v.admitted + more.admitted, more.retryAfter}, ok || v.admitted > 0
 }
 
+// take takes up to n operations. It reports whether no more need to be asked for.
 func (r *teamReserve) take(n int) (v verdict, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.takeLocked(n)
+}
+
+// grant adds what a control host granted and takes n operations of it. Both happen
+// under one lock: operations that arrive meanwhile would otherwise use up what was
+// asked for these, which would be refused below the team's limit.
+func (r *teamReserve) grant(askedAt time.Time, wanted, granted int, retryAfter time.Duration, n int) (v verdict, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserve.Grant(askedAt, bootclock.Now(), wanted, granted, retryAfter)
+	return r.takeLocked(n)
+}
+
+// takeLocked is take for callers that hold r.mu.
+func (r *teamReserve) takeLocked(n int) (v verdict, done bool) {
 	taken, refused, retryAfter := r.reserve.Take(bootclock.Now(), n)
 	return verdict{taken, retryAfter}, refused || taken == n
 }
 
-// fill asks for operations. It reports false if no control host has answered.
-func (c *siteCounters) fill(r *teamReserve, addresses []string, team string, missing int) bool {
+// fill asks for operations and takes n of those that are granted. It reports false if
+// no control host has answered.
+func (c *siteCounters) fill(r *teamReserve, addresses []string, team string, n int) (v verdict, ok bool) {
 	r.mu.Lock()
-	want := r.reserve.Want(bootclock.Now(), missing)
+	want := r.reserve.Want(bootclock.Now(), n)
 	r.mu.Unlock()
 	ranked := c.rank(addresses, team)
 	for i, address := range ranked {
@@ -98,12 +112,10 @@
 			c.recordFailure(address, err)
 			continue
 		}
-		r.mu.Lock()
-		r.reserve.Grant(askedAt, bootclock.Now(), want, granted, retryAfter)
-		r.mu.Unlock()
-		return true
+		v, _ = r.grant(askedAt, want, granted, retryAfter, n)
+		return v, true
 	}
-	return false
+	return verdict{}, false
 }
 
 // rank returns the addresses in the order in which they count for a team.
