Ask peers for a substitute at once, also on hosts with one core

Cause: iter.Map runs one goroutine for each core. On a host with one core the three peers were asked one after the other, and a silent one took the time of all (300 ms). Change: as many goroutines as peers are asked.

--- a/relay/find.go
+++ b/relay/find.go
@@ -25,7 +25,9 @@
 	ranked := c.rankedPeers(u.Id)
 	first := c.nextSearch(u.Id, len(ranked))
 	asked := ranked[first:min(first+maxProbedPeers, len(ranked))]
-	answers := iter.Map(asked, func(p **peer) bool { return c.reaches(ctx, *p, u) })
+	// The default is one goroutine for each core: a silent peer would hide the next.
+	mapper := iter.Mapper[*peer, bool]{MaxGoroutines: maxProbedPeers}
+	answers := mapper.Map(asked, func(p **peer) bool { return c.reaches(ctx, *p, u) })
 	i := slices.Index(answers, true)
 	if i < 0 {
 		return false
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -438,6 +439,19 @@
 	}
 }
 
+// Guards against a silent peer that hides those behind it from a host with one core, which
+// asked one after the other.
+func TestSilentPeerHidesNoOther(t *testing.T) {
+	s := newFakeSite(t, 4, 4)
+	asking := s.proxies[0]
+	silent := s.find(asking.client.rankedPeers("p1")[0].host.Name)
+	defer silent.freeze()()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, asking.client.FindRelay(ctx, s.parts.Upstreams[0]))
+}
+
 // Guards against upstreams without room: a proxy that avoids the relay for a while takes
 // the connections of a whole data centre beside it.
 func TestProxyThatAvoidsTheRelayIsASubstitute(t *testing.T) {
