--- a/relay/client.go
+++ b/relay/client.go
@@ -260,12 +260,21 @@
 	if p == nil {
 		return proxy.ReachabilityUnknown, 0, nil
 	}
-	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
+	r, failedFor, err = p.check(ctx, u)
 	if err != nil {
 		c.recordFailure(p, err)
 		return proxy.ReachabilityUnknown, 0, &proxy.RelayLost{Relay: p.host.Name, Err: err}
 	}
 	c.recordAnswer(p, false)
+	return r, failedFor, nil
+}
+
+// check asks a peer whether it reaches an upstream, and for how long it has not.
+func (p *peer) check(ctx context.Context, u *pb.SiteUpstream) (r proxy.Reachability, failedFor time.Duration, err error) {
+	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
+	if err != nil {
+		return proxy.ReachabilityUnknown, 0, err
+	}
 	switch response.Msg.Reachability {
 	case pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE:
 		return proxy.Reachable, 0, nil
--- a/relay/find.go
+++ b/relay/find.go
@@ -5,11 +5,11 @@
 	"context"
 	"slices"
 
-	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc/iter"
 
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/proxy"
 )
 
 // maxProbedPeers bounds the proxies that are asked at the same time whether they reach
@@ -85,9 +85,6 @@
 
 // reaches reports whether a peer says that it reaches an upstream.
 func (c *Client) reaches(ctx context.Context, p *peer, u *pb.SiteUpstream) bool {
-	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
-	if err != nil {
-		return false
-	}
-	return response.Msg.Reachability == pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE
+	r, _, err := p.check(ctx, u)
+	return err == nil && r == proxy.Reachable
 }
