Waiting operations of a team share a request to a control host; none is refused with a reserve left

Two faults of a data centre's counter: - Each proxy's batch that found the reserve empty asked a control host for itself, one after the other, at a round trip between regions each. Proxies wait 300 ms for the counter and then avoid it for a second, so that a burst from 20 proxies made two counters out of one. The next request now is for all that wait. - When all control hosts were lost, operations were refused with no time to come back (0 ms) if the reserve still held some of the batch. The rest is now counted against the data centre's share, like a batch that finds nothing.

--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -45,8 +45,12 @@
 	// asking is held while a control host is asked.
 	asking sync.Mutex
 
+	// mu guards the fields below.
 	mu      sync.Mutex
 	reserve quota.Reserve
+	// missing is how many operations wait for asking. The next request is for all of
+	// them: one for each of many proxies would take longer than these wait.
+	missing int
 }
 
 func newSiteCounters(ask AskSite) *siteCounters {
@@ -54,22 +58,32 @@
 }
 
 // admit takes operations of a team from its reserve, and fills that if they are missing.
-// It reports false if nothing could be taken because no control host answers.
+// It reports false if no control host answers for those that the reserve did not hold.
 func (c *siteCounters) admit(addresses []string, team string, n int) (v verdict, ok bool) {
 	r := c.reserveOf(team)
 	v, done := r.take(n)
 	if done {
 		return v, true
 	}
+	missing := n - v.admitted
+	r.addMissing(missing)
 	r.asking.Lock()
 	defer r.asking.Unlock()
-	more, done := r.take(n - v.admitted)
+	defer r.addMissing(-missing)
+	more, done := r.take(missing)
 	v = verdict{v.admitted + more.admitted, more.retryAfter}
 	if done {
 		return v, true
 	}
 	more, ok = c.fill(r, addresses, team, n-v.admitted)
-	return verdict{v.admitted + more.admitted, more.retryAfter}, ok || v.admitted > 0
+	return verdict{v.admitted + more.admitted, more.retryAfter}, ok
+}
+
+// addMissing counts operations that wait until a control host is asked.
+func (r *teamReserve) addMissing(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missing += n
 }
 
 // take takes up to n operations. It reports whether no more need to be asked for.
@@ -95,11 +109,11 @@
 	return verdict{taken, retryAfter}, refused || taken == n
 }
 
-// fill asks for operations and takes n of those that are granted. It reports false if
-// no control host has answered.
+// fill asks for the operations that are missing and takes n of those that are granted. It
+// reports false if no control host has answered.
 func (c *siteCounters) fill(r *teamReserve, addresses []string, team string, n int) (v verdict, ok bool) {
 	r.mu.Lock()
-	want := r.reserve.Want(bootclock.Now(), n)
+	want := r.reserve.Want(bootclock.Now(), r.missing)
 	r.mu.Unlock()
 	ranked := c.rank(addresses, team)
 	for i, address := range ranked {
@@ -167,5 +181,6 @@
 		return v.admitted, v.retryAfter
 	}
 	l.metrics.Counter("decided_without_control_total").Inc(1)
-	return l.count(team, operations, cutOffPart)
+	rest, retryAfter := l.count(team, operations-v.admitted, cutOffPart)
+	return v.admitted + rest, retryAfter
 }
--- a/relay/sitecounter_test.go
+++ b/relay/sitecounter_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lovageslip/bootclock"
+	"lovageslip/site"
 )
 
 // fakeCounters are control hosts that grant all they are asked for.
@@ -96,3 +99,41 @@
 	assert.Equal(t, total, 50)
 	assert.Assert(t, granted >= total)
 }
+
+// Guards against operations that are refused, with no time to come back, because the
+// reserve held some of them when the control hosts were lost.
+func TestOperationsBeyondTheReserveAreCountedWithoutControlHosts(t *testing.T) {
+	f := &fakeCounters{down: map[string]bool{}}
+	client := NewClient(Options{Name: "proxy"})
+	view := site.NewView(site.ViewParts{ControlHosts: controlAddresses, Proxies: 1})
+	l := NewLimits(LimitsOptions{Client: client, View: func() *site.View { return view }, AskSite: f.ask})
+	team := &site.Team{Name: "team", Limited: true, RatePerSecond: 100, Burst: 100}
+	l.site.reserveOf("team").grant(bootclock.Now(), 3, 3, 0, 0)
+	for _, address := range controlAddresses {
+		f.down[address] = true
+	}
+	admitted, _ := l.countForDataCentre(team, 5)
+	assert.Equal(t, admitted, 5)
+}
+
+// Guards against callers that wait for one request to a control host each, one after the
+// other.
+func TestWaitingOperationsShareARequestToAControlHost(t *testing.T) {
+	const callers, roundTrip = 30, 40 * time.Millisecond
+	f := &fakeCounters{grant: func(operations int) int {
+		time.Sleep(roundTrip)
+		return operations
+	}}
+	c := newSiteCounters(f.ask)
+	var done sync.WaitGroup
+	begunAt := time.Now()
+	for range callers {
+		done.Go(func() {
+			v, ok := c.admit(controlAddresses, "team", 1)
+			assert.Check(t, ok && v.admitted == 1)
+		})
+	}
+	done.Wait()
+	assert.Assert(t, len(f.asked) <= 3, "%d requests", len(f.asked))
+	assert.Assert(t, time.Since(begunAt) < 5*roundTrip, "%v", time.Since(begunAt))
+}
