A failed dial ends the wait of other teams' statements too

Cause: a new pool dials one connection at a time. Statements of teams without a connection wait for the dial of another team to end. If it ended with a timeout while other teams had idle connections, only its own team's statements were told, and nothing woke the others: they waited until their time was over, and none chose another upstream. Change: statements of teams that have no connection, nor one being dialed, fail with it.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"context"
-	"errors"
-)
+import "context"
 
 // dial opens a connection for a team that startDialLocked has already counted in
 // open and dialing.
@@ -48,18 +45,22 @@
 // failAfterDialLocked ends the wait of all statements after a failed dial, so that
 // they can choose another upstream, unless other connections are open that they
 // can wait for. Statements of a team without connections can't wait for those of
-// other teams, unless one of these can be closed once the upstream has room.
+// other teams, unless one of these can be closed once the upstream has room. They may
+// have waited for this dial to end before theirs could begin.
 func (p *pool) failAfterDialLocked(t *poolTeam, err error) {
 	if p.open <= p.dialing {
-		p.failWaitersLocked(nil, err)
+		p.failWaitersLocked(err, anyWaiter)
 		return
 	}
-	var refused *DialRefused
-	if errors.As(err, &refused) && refused.Code != CodeWrongUpstream {
+	if noRoom(err) {
 		p.grantLocked()
 		return
 	}
-	if t.open <= t.dialing {
-		p.failWaitersLocked(t, err)
-	}
+	dialedInVain := t.open <= t.dialing
+	p.failWaitersLocked(err, func(w *waiter) bool {
+		if w.team == t {
+			return dialedInVain
+		}
+		return w.team.open == 0 && !w.wanted.any
+	})
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -252,17 +252,19 @@
 	return true
 }
 
-// failWaitersLocked ends the wait of the statements of a team, or of all if t is
-// nil, with an error.
-func (p *pool) failWaitersLocked(t *poolTeam, err error) {
+// failWaitersLocked ends the wait of the statements that a condition holds for, with an
+// error.
+func (p *pool) failWaitersLocked(err error, fails func(*waiter) bool) {
 	for _, w := range slices.Clone(p.waiters) {
-		if t == nil || w.team == t {
+		if fails(w) {
 			p.removeWaiterLocked(w)
 			w.granted <- grant{err: err}
 		}
 	}
 }
 
+func anyWaiter(*waiter) bool { return true }
+
 // acquire returns a connection that counts as in flight, for new work of a caller
 // of a team. It is one that was opened for that team. acquire waits for one until
 // maxWait has passed or ctx ends, or the upstream gets no new work any more. Its
--- a/proxy/poolclose.go
+++ b/proxy/poolclose.go
@@ -71,5 +71,5 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	p.closeAllIdleLocked()
-	p.failWaitersLocked(nil, upstreamGone())
+	p.failWaitersLocked(upstreamGone(), anyWaiter)
 }
--- a/proxy/teamconns_test.go
+++ b/proxy/teamconns_test.go
@@ -228,6 +228,28 @@
 	})
 }
 
+// Guards against a statement of a team without connections that waits until its time is
+// over, because the dial that it had to wait for has failed and nothing else happens.
+func TestFailedDialEndsTheWaitOfOtherTeams(t *testing.T) {
+	inVirtualTime(t, 4, func(p *pool, u *teamUpstream) {
+		p.release(mustAcquire(t, p, "a"))
+		time.Sleep(startInterval)
+		u.unreachable, u.slowTeam = true, "b"
+		begun := now()
+		var waiting sync.WaitGroup
+		for _, team := range []string{"b", "c"} {
+			synctest.Wait() // The first one dials.
+			waiting.Go(func() {
+				_, err := p.acquire(context.Background(), highestUrgency(), team, 5*time.Second)
+				var io *fault.IO
+				assert.Check(t, errors.As(err, &io), "%v", err)
+			})
+		}
+		waiting.Wait()
+		assert.Assert(t, now().Sub(begun) <= dialTimeout, "waited %v", now().Sub(begun))
+	})
+}
+
 // Guards against a dial that takes long and keeps less urgent statements of all other
 // teams waiting, because room is left for its statement.
 func TestSlowDialOfOneTeamDoesNotStopTheOthers(t *testing.T) {
