Find out together which peers are cut off, when one of them fails

A peer that failed was tried with statements again after its pause, and a silent counter was avoided for one team only.

A failure starts a check of three other peers, and of all if one of them is silent. A peer that failed is used again once it answers a check.

--- a/relay/client.go
+++ b/relay/client.go
@@ -67,6 +67,11 @@
 	gone map[string]time.Time
 	// onPeers is called after each change of peers, if set.
 	onPeers func()
+	// nextSurvey is the earliest time of the next survey of peers.
+	nextSurvey time.Time
+
+	// checkPeer checks whether a peer answers.
+	checkPeer func(*peer) error
 }
 
 // peer is another proxy that may be a relay.
@@ -76,9 +81,12 @@
 	// leaving is set once the peer has said that it shuts down.
 	leaving bool
 	// failures is how often the peer has failed since its last answer. It is not
-	// used before avoidUntil.
+	// used before avoidUntil, and as long as failed is set: until a check succeeds.
 	failures   int
 	avoidUntil time.Time
+	failed     bool
+	// checking is set while the peer is checked because it was slow once.
+	checking bool
 	// avoidUpstreams holds until when the peer is not used for an upstream.
 	avoidUpstreams map[string]time.Time
 }
@@ -98,6 +106,7 @@
 		avoidSelf: make(map[string]time.Time),
 		searched:  make(map[string]int),
 		gone:      make(map[string]time.Time),
+		checkPeer: checkPeer,
 	}
 }
 
@@ -187,7 +196,7 @@
 		c.recheckByLocked(until)
 		return false
 	}
-	return !p.leaving
+	return !p.leaving && !p.failed
 }
 
 // ownScoreLocked is the score of this proxy; 0 while it does not reach the upstream.
@@ -223,14 +232,20 @@
 	c.log.Warn("relay does not reach an upstream that this proxy reaches; using another relay", "relay", p.host.Name, "upstream", upstreamID)
 }
 
-// recordFailure makes the proxy use other relays than p for a while.
+// recordFailure makes the proxy use other relays than p for a while, and until p answers
+// a check. Other peers may have become unreachable with it, so some are checked.
 func (c *Client) recordFailure(p *peer, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := bootclock.Now()
-	if now.Before(p.avoidUntil) {
+	if p.failed || now.Before(p.avoidUntil) {
 		return
 	}
+	p.failed = true
+	go c.awaitAnswer(p)
+	if c.startSurveyLocked(now) {
+		go c.survey()
+	}
 	p.avoidUntil = now.Add(min(avoidMin<<min(p.failures, 5), avoidMax))
 	p.failures++
 	clear(c.chosen)
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -156,6 +156,7 @@
 		return
 	}
 	l.options.Client.avoidFor(p, counterKey(team), slowCounterAvoidance)
+	l.options.Client.suspect(p)
 	l.log.Info("counter of a team did not answer in time; asking another one", "counter", p.host.Name, "team", team)
 }
 
