--- a/relay/find.go
+++ b/relay/find.go
@@ -5,11 +5,11 @@
 	"context"
 	"slices"
 
-	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc/iter"
 
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/proxy"
 )
 
 // maxProbedPeers bounds the proxies that are asked at the same time whether they reach
@@ -25,7 +25,9 @@
 	ranked := c.rankedPeers(u.Id)
 	first := c.nextSearch(u.Id, len(ranked))
 	asked := ranked[first:min(first+maxProbedPeers, len(ranked))]
-	answers := iter.Map(asked, func(p **peer) bool { return c.reaches(ctx, *p, u) })
+	// The default is one goroutine for each core: a silent peer would hide the next.
+	mapper := iter.Mapper[*peer, bool]{MaxGoroutines: maxProbedPeers}
+	answers := mapper.Map(asked, func(p **peer) bool { return c.reaches(ctx, *p, u) })
 	i := slices.Index(answers, true)
 	if i < 0 {
 		return false
@@ -83,9 +85,6 @@
 
 // reaches reports whether a peer says that it reaches an upstream.
 func (c *Client) reaches(ctx context.Context, p *peer, u *pb.SiteUpstream) bool {
-	response, err := p.service.Check(ctx, connect.NewRequest(&pb.RelayCheckRequest{Target: targetToWire(u)}))
-	if err != nil {
-		return false
-	}
-	return response.Msg.Reachability == pb.UpstreamReachability_UPSTREAM_REACHABILITY_REACHABLE
+	r, _, err := p.check(ctx, u)
+	return err == nil && r == proxy.Reachable
 }
