Proxies of a data centre watch the same control host, and return to it

Cause: a proxy watched the control host that accepted its connection first, for as long as that watch lasted. With all proxies starting at once the nearest host was not always the first. A control host lists only the proxies that watch it, so such a proxy chose other relays and counters than its neighbours, for hours: an upstream had several relays in a data centre, each with a quota of connections. Change: each proxy measures the time to connect to the members three times in its first seconds. It prefers one of those that are about as near as the nearest, by rendezvous hashing of its data centre, and turns to it; also after that host was lost and is back, but not within 30 s of a failed watch. After a loss all turn to the next in the same order. No message is new. A proxy reports to a control host only while it watches it: a report between two watches counted it twice for 6 s. Result: TestProxyReturnsToThePreferredControlHost failed with the return switched off.

--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -1,13 +1,15 @@
 // Package sitewatch connects a proxy to the control hosts (package sitecontrol).
 // It keeps the proxy's view of the site up to date, by watching one control host
-// at a time, the one that accepts a connection first. It reports the primaries
-// that the proxy cannot reach, and asks for the positions of primaries. Package
-// platform starts it.
+// at a time, the one that the proxies of its data centre prefer if they can. It
+// reports the primaries that the proxy cannot reach, and asks for the positions of
+// primaries. Package platform starts it.
 package sitewatch
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -106,11 +108,22 @@
 
 	watchedAddress string // address of the last control host that sent an update
 	lastUpdateAt   time.Time
+	// watching is set while the watch of watchedAddress lasts. Reports after it would
+	// make that host count the proxy beside the next one.
+	watching bool
 	// leaving is set once the proxy shuts down and relays nothing new.
 	leaving bool
 	// discoveredHosts are the members that a control host which stands by has
 	// named.
 	discoveredHosts []string
+	// failedAt holds when the last watch of a control host failed.
+	failedAt map[string]time.Time
+	// connectTimes holds the times to connect to the members, measuredMembers those
+	// of the last measurement. returnTo is the preferred control host that the watch
+	// should turn to; empty if it need not.
+	connectTimes    map[string]connectTime
+	measuredMembers []string
+	returnTo        string
 }
 
 // New returns a watch, which is started by Run.
@@ -120,6 +133,9 @@
 		clients: sitecontrol.NewClients(o.HTTPClient),
 		log:     logging.For(o.Log, "watch"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("watch"),
+
+		failedAt:     make(map[string]time.Time),
+		connectTimes: make(map[string]connectTime),
 	}
 }
 
@@ -128,10 +144,13 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { w.runReports(ctx, p) })
-	failedAt := make(map[string]time.Time)
+	tasks.Go(func() { w.runPreference(ctx) })
+	address := ""
 	for failures := 0; ctx.Err() == nil; failures++ {
-		address, ok := w.nearest(ctx, failedAt)
-		if !ok {
+		if address == "" {
+			address = w.nearest(ctx)
+		}
+		if address == "" {
 			// The loop counts failed watches only.
 			failures--
 			pause.For(ctx, jitter(unreachablePause))
@@ -139,9 +158,17 @@
 		}
 		begunAt := bootclock.Now()
 		err := w.watch(ctx, address, p)
+		var returned *Returned
+		if errors.As(err, &returned) {
+			w.log.Info("proxy turns to the control host that its data centre prefers", "address", returned.To, "from", address)
+			w.metrics.Counter("returns_to_preferred_total").Inc(1)
+			address = returned.To
+			failures--
+			continue
+		}
 		w.log.Warn("watch of a control host ended", "address", address, "index", w.index(), "error", err)
-		w.metrics.Counter("control_hosts_lost_total").Inc(1)
-		failedAt[address] = bootclock.Now()
+		w.recordFailure(address)
+		address = ""
 		if bootclock.Since(begunAt) >= stableWatch {
 			failures = 0
 		}
@@ -151,6 +178,16 @@
 	}
 }
 
+func (w *Watch) recordFailure(address string) {
+	w.metrics.Counter("control_hosts_lost_total").Inc(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failedAt[address] = bootclock.Now()
+	if w.returnTo == address {
+		w.returnTo = ""
+	}
+}
+
 // retryPause returns a random pause after a number of failures since the last stable
 // watch, between half and one and a half times the mean.
 func retryPause(failures int) time.Duration {
@@ -189,20 +226,24 @@
 	return slices.Compact(addresses)
 }
 
-// nearest returns the control host that accepts a connection first, of those
-// whose watch has not failed lately. If none of them does, it tries those that
-// have failed, one after the other, the one that failed longest ago first.
-func (w *Watch) nearest(ctx context.Context, failedAt map[string]time.Time) (string, bool) {
+// nearest returns the preferred control host, or else the one that accepts a connection
+// first, of those whose watch has not failed lately. If none of them does, it tries those
+// that have failed, one after the other, the one that failed longest ago first. It is
+// empty if no control host accepts a connection.
+func (w *Watch) nearest(ctx context.Context) string {
+	w.mu.Lock()
+	failedAt := maps.Clone(w.failedAt)
+	w.mu.Unlock()
 	candidates, failed := splitByFailure(w.candidates(), failedAt, bootclock.Now())
-	if address, ok := firstReachable(ctx, candidates); ok {
-		return address, true
+	if address, ok := firstReachable(ctx, candidates, w.preferredOf(candidates)); ok {
+		return address
 	}
 	for _, address := range failed {
-		if found, ok := firstReachable(ctx, []string{address}); ok {
-			return found, true
+		if found, ok := firstReachable(ctx, []string{address}, ""); ok {
+			return found
 		}
 	}
-	return "", false
+	return ""
 }
 
 // failedHostBackoff is how long a control host whose watch has failed is tried
@@ -225,8 +266,8 @@
 }
 
 // firstReachable returns the address that accepts a connection first, within
-// probeTimeout.
-func firstReachable(ctx context.Context, addresses []string) (string, bool) {
+// probeTimeout. The preferred one, if any, may be later by preferredHeadStart.
+func firstReachable(ctx context.Context, addresses []string, preferred string) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var tasks conc.WaitGroup
@@ -236,12 +277,23 @@
 	for _, address := range addresses {
 		tasks.Go(func() { answers <- probe(ctx, address) })
 	}
+	first := ""
+	var late <-chan time.Time
 	for range addresses {
-		if address := <-answers; address != "" {
-			return address, true
+		select {
+		case address := <-answers:
+			switch {
+			case address == "":
+			case preferred == "" || address == preferred:
+				return address, true
+			case first == "":
+				first, late = address, time.After(preferredHeadStart)
+			}
+		case <-late:
+			return first, true
 		}
 	}
-	return "", false
+	return first, first != ""
 }
 
 // probe returns the address if it accepts a connection, and an empty string
@@ -277,6 +329,7 @@
 		return &fault.IO{Op: "watch", Err: err}
 	}
 	defer stream.Close()
+	defer w.endWatch()
 	firstUpdate := true
 	for stream.Receive() {
 		silence.Reset(silenceTimeout)
@@ -296,10 +349,19 @@
 		if age := w.viewAge(); age > w.lagLimit() {
 			return &NotConfirmed{Address: address, For: age}
 		}
+		if to := w.takeReturn(address); to != "" {
+			return &Returned{To: to}
+		}
 	}
 	return &fault.IO{Op: "watch", Err: stream.Err()}
 }
 
+func (w *Watch) endWatch() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watching = false
+}
+
 func (w *Watch) setDiscoveredHosts(hosts []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -319,7 +381,7 @@
 // that one, so the stream is of no use any more.
 func (w *Watch) applyUpdate(address string, u *pb.SiteUpdate, p Proxy) bool {
 	w.mu.Lock()
-	w.watchedAddress, w.lastUpdateAt = address, bootclock.Now()
+	w.watchedAddress, w.watching, w.lastUpdateAt = address, true, bootclock.Now()
 	if u.Index < w.parts.Index {
 		w.mu.Unlock()
 		return false
@@ -392,6 +454,9 @@
 func (w *Watch) reportTarget() (address string, leaving bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.watching {
+		return "", w.leaving
+	}
 	return w.watchedAddress, w.leaving
 }
 
