Give up a relay that does not know an upstream's process

Cause: a relay whose view is from before the start of a process answers that it is unreachable, with no time of a failure. Others are looked for only where the relay has failed for 0.5 s, so the data centre had no service of the upstream, and reported its primary as unreachable, until the relay had a newer view or left the list. Change: the time since this proxy's own first failure counts as well.

--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -117,15 +117,16 @@
 }
 
 // checkThroughRelay finds out whether the upstream is reachable. A relay that says
-// that it is not may itself be cut off. The upstream counts as unreachable at once,
-// but this proxy then tries to connect itself.
+// that it is not may itself be cut off, or not know the upstream's process yet, for
+// which it has no time of a failure. The upstream counts as unreachable at once, but
+// this proxy then tries to connect itself.
 func (p *pool) checkThroughRelay(ctx context.Context, u *pb.SiteUpstream) {
 	reachability, failedFor, err := p.relays.Check(ctx, u)
 	reached := err == nil && reachability == Reachable
 	if err == nil && reachability == Unreachable {
 		p.recordFailedFor(failedFor)
 	}
-	if err == nil && reachability == Unreachable && failedFor >= searchAfter {
+	if err == nil && reachability == Unreachable && max(failedFor, p.unreachableFor()) >= searchAfter {
 		reached, err = p.lookAround(u)
 	}
 	p.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"lovageslip/bootclock"
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/proxy"
+	"lovageslip/site"
 )
 
 // Guards against an entry proxy that knows only its own statements at an upstream that
@@ -439,6 +440,27 @@
 	}
 }
 
+// Guards against an upstream without service in a data centre while its relay has a view
+// from before the start of the upstream's process.
+func TestRelayWithAnOlderViewIsAvoided(t *testing.T) {
+	s := newFakeSite(t, 4, 8)
+	relay := s.relayFor("p1")
+	older := s.parts
+	older.Upstreams = s.parts.Upstreams[1:]
+	relay.SetView(site.NewView(older))
+	begunAt := time.Now()
+	for _, p := range s.proxies {
+		if p == relay {
+			continue
+		}
+		session := open(t, p, "latest")
+		waitFor(t, "a write at "+p.name, func() bool {
+			return session.Do(context.Background(), write("w-"+p.name, "x")).Refusal == nil
+		})
+	}
+	assert.Assert(t, time.Since(begunAt) < 5*time.Second, "%v", time.Since(begunAt))
+}
+
 // Guards against a silent peer that hides those behind it from a host with one core, which
 // asked one after the other.
 func TestSilentPeerHidesNoOther(t *testing.T) {
