A control host that gets teams from another one counts as new

Cause: a change of the members of the control hosts moves teams to other counters. The new one took a team without a bucket for one that had sent nothing since its own start and granted a full burst and window, next to what the former one had just granted. Change: a control host counts since the last change of the members. Teams that go on asking it keep their buckets.

--- a/sitecontrol/lead.go
+++ b/sitecontrol/lead.go
@@ -19,13 +19,14 @@
 )
 
 // Run runs the background tasks of a control host until ctx ends: it joins the
-// members, relays the proxies' reports, and does the leader's duties while this
-// host leads.
+// members and follows them, relays the proxies' reports, and does the leader's duties
+// while this host leads.
 func (s *Server) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { s.runJoin(ctx) })
 	group.Go(func() { s.runRelay(ctx) })
+	group.Go(func() { s.runMembers(ctx) })
 	group.Go(func() { s.runLeadership(ctx) })
 }
 
--- a/sitecontrol/limits.go
+++ b/sitecontrol/limits.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
 	"lovageslip/quota"
 )
 
@@ -27,7 +29,7 @@
 		return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
 	}
 	share := quota.Fixed(1)
-	share.Since = s.startedAt
+	share.Since = s.countingSince()
 	if r.Msg.Substitute {
 		share = quota.Fixed(substitutePart)
 	}
@@ -41,6 +43,33 @@
 	}), nil
 }
 
+func (s *Server) countingSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countsSince
+}
+
+// memberCheckInterval is how often the members are compared. Proxies ask the counter that
+// follows from a change once their view has it, up to watchInterval later.
+const memberCheckInterval = 50 * time.Millisecond
+
+// runMembers follows the members of the consensus.
+func (s *Server) runMembers(ctx context.Context) {
+	for pause.For(ctx, memberCheckInterval) {
+		s.followMembers(s.memberAddresses())
+	}
+}
+
+// followMembers records when the members change. A team whose counter is another host
+// then may have had its whole limit there within the last window.
+func (s *Server) followMembers(members []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Equal(members, s.members) {
+		s.members, s.countsSince = members, now()
+	}
+}
+
 // team returns a team of the configuration in force, or nil.
 func (s *Server) team(name string) *pb.SiteTeam {
 	state, _, _ := s.options.State.Current()
--- a/sitecontrol/limits_test.go
+++ b/sitecontrol/limits_test.go
@@ -15,8 +15,9 @@
 )
 
 // Guards against a team that gets more than its limit because it asks for much at once,
-// against a substitute that grants as much as the host it stands in for, and against a
-// lowered limit that only new proxies know.
+// against a substitute that grants as much as the host it stands in for, against a team
+// that gets it from two hosts when the members change, and against a lowered limit that
+// only new proxies know.
 func TestControlHostGrantsTheLimitOfItsState(t *testing.T) {
 	state := site.NewState()
 	store := func(version uint64, rate float64) {
@@ -34,7 +35,7 @@
 	store(1, 100)
 	// The host was up for longer than a window.
 	s := New(Options{State: state, Quota: quota.Options{Window: 5 * time.Second, Over: 0.1, Slack: 20}})
-	s.startedAt = now().Add(-time.Minute)
+	s.countsSince = now().Add(-time.Minute)
 	grant := func(team string, operations uint32, substitute bool) int {
 		request := &pb.AdmitRequest{Team: team, Operations: operations, Substitute: substitute}
 		response, err := s.Admit(context.Background(), connect.NewRequest(request))
@@ -46,10 +47,19 @@
 	assert.Assert(t, first >= 100 && first <= 130, "%d of a burst of 100", first)
 	assert.Assert(t, grant("limited", 1000, false) <= 5)
 
+	// A change of the members moves teams here that another host has counted.
+	moved := New(Options{State: state, Quota: s.options.Quota})
+	moved.countsSince = now().Add(-time.Minute)
+	moved.followMembers([]string{"a", "b"})
+	const start = 0.4*0.1*(5*100+100) + 0.3*20 // what new buckets start with
+	response, err := moved.Admit(context.Background(), connect.NewRequest(&pb.AdmitRequest{Team: "limited", Operations: 1000}))
+	assert.NilError(t, err)
+	assert.Assert(t, response.Msg.Admitted <= start+1, "%d admitted", response.Msg.Admitted)
+
 	store(2, 0)
 	assert.Equal(t, grant("limited", 1, false), 0)
 
-	_, err := s.Admit(context.Background(), connect.NewRequest(&pb.AdmitRequest{Team: "unknown", Operations: 1}))
+	_, err = s.Admit(context.Background(), connect.NewRequest(&pb.AdmitRequest{Team: "unknown", Operations: 1}))
 	assert.Equal(t, connect.CodeOf(err), connect.CodeNotFound)
 
 	store(3, 100)
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -109,9 +109,8 @@
 	log     *slog.Logger
 	metrics tally.Scope
 	clients *Clients
-	// limiter counts the operations of teams for the whole site since startedAt.
-	limiter   *quota.Limiter
-	startedAt time.Time
+	// limiter counts the operations of teams for the whole site.
+	limiter *quota.Limiter
 
 	// admitMu is held while a host is added to the members.
 	admitMu sync.Mutex
@@ -140,6 +139,10 @@
 	samples map[string]*positionSample
 	// confirmed is the newest confirmation that this host's state is complete.
 	confirmed confirmation
+	// countsSince is the start of this host or the last change of the members, which
+	// moves teams between counters. members are those of that time.
+	countsSince time.Time
+	members     []string
 
 	// confirming allows one quorum read for confirmations at a time.
 	confirming singleflight.Group
@@ -168,7 +171,7 @@
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
 		limiter:       quota.New(o.Quota),
-		startedAt:     now(),
+		countsSince:   now(),
 		reports:       make(map[string]report),
 		watches:       make(map[string]uint64),
 		relays:        make(map[string][]*pb.RelayHost),
