The quota of a relay follows the new view at once

Cause: SetView computed the quotas with the view before. With its first view a relay of a site with teams had the connections of a whole data centre, and after each change of the list or of the teams the former part, until the next tick (no more than 100 ms). Change: the view is passed; the method has a name of its own.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -153,7 +153,7 @@
 			key := keyOf(u)
 			inView[key], relayed[key] = true, useRelays
 			newWorkUntil := p.newWorkUntil(v, u)
-			p.updatePool(key, u, newWorkUntil, p.directQuota(g, key, homeID, useRelays, v.Proxies))
+			p.updatePool(key, u, newWorkUntil, p.directQuota(v, g, key, homeID, useRelays))
 			if useRelays {
 				p.updateRelayedPool(key, u, newWorkUntil)
 			}
@@ -164,21 +164,22 @@
 	p.view.Store(v)
 }
 
-// directQuota returns the quota of the connections that this proxy dials itself.
-func (p *Proxy) directQuota(g *site.GroupView, key poolKey, homeID string, useRelays bool, proxies int) connectionQuota {
+// directQuota returns the quota under a view of the connections that this proxy dials
+// itself.
+func (p *Proxy) directQuota(v *site.View, g *site.GroupView, key poolKey, homeID string, useRelays bool) connectionQuota {
 	switch {
 	case useRelays && p.options.Relays.HasRelay(key.id) && p.pools[key].relayedLately():
-		return substituteQuota(p.relayQuota(g))
+		return substituteQuota(p.ownRelayQuota(v, g))
 	case useRelays && p.options.Relays.HasRelay(key.id):
 		return fallbackQuota
 	case useRelays && p.options.Relays.IsSubstitute(key.id):
-		return substituteQuota(p.relayQuota(g))
+		return substituteQuota(p.ownRelayQuota(v, g))
 	case useRelays:
-		return p.relayQuota(g)
+		return p.ownRelayQuota(v, g)
 	case key.id == homeID:
-		return homeQuota(g, proxies)
+		return homeQuota(g, v.Proxies)
 	default:
-		return equalQuota(g.MaxConnections, proxies)
+		return equalQuota(g.MaxConnections, v.Proxies)
 	}
 }
 
@@ -285,7 +286,7 @@
 			continue
 		}
 		if g, ok := v.Group(direct.group()); ok {
-			direct.setQuota(p.directQuota(g, key, "", true, v.Proxies))
+			direct.setQuota(p.directQuota(v, g, key, "", true))
 		}
 	}
 }
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -36,10 +36,11 @@
 // unused. The rest is for proxies that relay in its place, and for checks.
 const teamsRelayShare = 0.85
 
-// relayQuota returns this proxy's quota as the relay of a group's upstreams.
-func (p *Proxy) relayQuota(g *site.GroupView) connectionQuota {
+// ownRelayQuota returns this proxy's quota under a view as the relay of a group's
+// upstreams.
+func (p *Proxy) ownRelayQuota(v *site.View, g *site.GroupView) connectionQuota {
 	quota := relayQuota(g.MaxConnections, len(p.options.Regions))
-	if v := p.View(); v.TeamCount > quota.limit {
+	if v.TeamCount > quota.limit {
 		share := teamsRelayShare * listShare(len(v.Relays), v.Proxies, len(p.options.Regions))
 		quota.limit = max(int(share*float64(quota.limit)), scarceConnections)
 	}
--- a/proxy/substitute_test.go
+++ b/proxy/substitute_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,3 +37,25 @@
 	f.proxy.refreshRelayQuotas()
 	assert.Equal(t, f.proxy.pools[key].quota, fallbackQuota)
 }
+
+// ownRelay is a Relays for which this proxy is the relay of every upstream.
+type ownRelay struct{ Relays }
+
+func (ownRelay) SetPeers([]*pb.RelayHost) {}
+func (ownRelay) HasRelay(string) bool     { return false }
+func (ownRelay) IsSubstitute(string) bool { return false }
+
+// Guards against a relay that takes the connections of the view before: with the first
+// view of a site with teams, it took all of its data centre for the list of few proxies.
+func TestQuotaOfARelayFollowsTheViewAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.proxy.options.Relays, f.proxy.options.Regions = ownRelay{}, map[string]string{"here": "r", "there": "r"}
+	f.parts.Relays, f.parts.Proxies = []*pb.RelayHost{{Name: "other"}}, 60
+	for i := range 20 {
+		f.parts.Config.Teams = append(f.parts.Config.Teams, &pb.SiteTeam{Name: fmt.Sprint(i)})
+	}
+	f.proxy.SetView(site.NewView(f.parts))
+	for _, pl := range f.proxy.pools {
+		assert.Equal(t, pl.quota.limit, scarceConnections)
+	}
+}
