Work that several upstreams could serve leaves a queue that does not move

Change: work that has a choice waits 60 ms (160 ms where connections are those of teams) for a connection to one upstream, whichever it is, and chooses again at once if it only waited. A read-only transaction no longer excludes the upstream at which it waited.

--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -119,3 +119,32 @@
 	n := atPrimary()
 	assert.Check(t, n > 200 && n < 480, "%d of 3000 reads", n)
 }
+
+// Guards against reads and read-only transactions that, having chosen the primary or a
+// replica while many statements wait there, stay in its queue until their timeout
+// although another upstream has room.
+func TestWorkWithAChoiceLeavesAQueueThatDoesNotMove(t *testing.T) {
+	for _, full := range []string{"p1", "r1"} {
+		for _, transaction := range []bool{false, true} {
+			withVirtualClock(t, func(t *testing.T) {
+				f := newFixture(t)
+				for _, u := range f.parts.Upstreams {
+					if pl, _ := f.proxy.pool(u); u.Id == full {
+						pl.inFlight = initialConcurrency
+					}
+				}
+				f.proxy.group("g").positions.add(upstream.Position{Term: 3, Offset: 100}, now())
+				for range 30 { // each chooses the full one with a chance of a ninth
+					s := f.open("bounded")
+					begunAt := now()
+					if transaction {
+						mustServe(t, s, &Statement{ID: "b", Kind: KindBegin, ReadOnly: true})
+					}
+					mustServe(t, s, read("r"))
+					assert.Check(t, now().Sub(begunAt) < 10*queueTimeout, "%s full: waited %v", full, now().Sub(begunAt))
+					s.Close()
+				}
+			})
+		}
+	}
+}
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -30,7 +30,7 @@
 	progress := &readProgress{}
 	return s.retryUntilFinal(ctx, stmt.statement, func() attempt {
 		if !replicaAllowed(route) {
-			return s.readLatest(ctx, stmt, route, progress)
+			return s.readLatest(ctx, stmt, route, progress, timeout(route))
 		}
 		return s.readAllowingReplica(ctx, stmt, route, progress)
 	})
@@ -99,7 +99,7 @@
 		return *failed
 	}
 	if t.primary {
-		return s.readLatest(ctx, stmt, route, progress)
+		return s.readLatest(ctx, stmt, route, progress, s.queueTimeout())
 	}
 	c, err := t.pool.acquire(ctx, s.urgency(route), s.teamName(), s.queueTimeout())
 	if err != nil {
@@ -118,15 +118,16 @@
 }
 
 const (
-	// queueTimeout is how long a read waits for a connection to one upstream
-	// before it chooses again.
+	// queueTimeout is how long a read or a transaction that several upstreams could
+	// serve waits for a connection to one of them before it chooses again.
 	queueTimeout = 60 * time.Millisecond
 	// teamConnectTime is added where a connection serves one team only, so that
 	// one must often be opened first: two round trips between regions and 12 ms.
 	teamConnectTime = 100 * time.Millisecond
 )
 
-// queueTimeout returns how long a read of this session waits for a connection.
+// queueTimeout returns how long work of this session that several upstreams could serve
+// waits for a connection to one of them.
 func (s *Session) queueTimeout() time.Duration {
 	if s.team == nil {
 		return queueTimeout
@@ -139,12 +140,20 @@
 // and its expected wait decides.
 func (s *Session) readAcquireFailed(err error, progress *readProgress, id string) attempt {
 	a := acquireFailed(err)
+	if a.reason != reasonNotGranted {
+		progress.exclude(id)
+	}
+	return *a.chooseAgain()
+}
+
+// chooseAgain removes the pause before the next attempt if the statement has only
+// waited too long for a connection: the expected wait decides where it waits next, and
+// meanwhile it would be in no queue.
+func (a attempt) chooseAgain() *attempt {
 	if a.reason == reasonNotGranted {
 		a.wait = 0
-		return a
 	}
-	progress.exclude(id)
-	return a
+	return &a
 }
 
 // finishRead handles the answers to a read, the first of which is that of the
@@ -160,10 +169,7 @@
 	c.pool.recordStatement(a.Code, now().Sub(sentAt))
 	switch {
 	case a.Code == CodeNoConnection:
-		// The expected wait decides whether the read waits there again.
-		failed := s.handleNotRun(c, Answer{Code: a.Code, State: last.State})
-		failed.wait = 0
-		return failed
+		return *s.handleNotRun(c, Answer{Code: a.Code, State: last.State}).chooseAgain()
 	case a.Code.NotRun():
 		progress.exclude(c.pool.id())
 		return s.handleNotRun(c, Answer{Code: a.Code, State: last.State, Position: a.Position})
@@ -179,9 +185,10 @@
 }
 
 // readLatest reads at the primary inside a transaction that the proxy opens for
-// it, because an upstream that no longer leads refuses the read there.
-func (s *Session) readLatest(ctx context.Context, stmt resolvedStatement, route *pb.SiteRoute, progress *readProgress) attempt {
-	c, failed := s.beginAtPrimary(ctx, stmt, route)
+// it, because an upstream that no longer leads refuses the read there. It waits for a
+// connection for up to maxWait.
+func (s *Session) readLatest(ctx context.Context, stmt resolvedStatement, route *pb.SiteRoute, progress *readProgress, maxWait time.Duration) attempt {
+	c, failed := s.beginAtPrimary(ctx, stmt, route, maxWait)
 	if failed != nil {
 		return *failed
 	}
@@ -201,20 +208,22 @@
 // connection. The statement is sent only after the transaction was opened: if
 // they were sent together and the transaction refused, the statement would run
 // outside of it.
-func (s *Session) beginAtPrimary(ctx context.Context, stmt resolvedStatement, route *pb.SiteRoute) (*conn, *attempt) {
+func (s *Session) beginAtPrimary(ctx context.Context, stmt resolvedStatement, route *pb.SiteRoute, maxWait time.Duration) (*conn, *attempt) {
 	pl, _, ok := s.proxy.primaryPool(route.Group)
 	if !ok {
 		a := retry(reasonNoPrimary, jitter(noPrimaryBackoff))
 		return nil, &a
 	}
-	return s.beginTransaction(ctx, pl, stmt, route, Command{Kind: CommandBegin})
+	return s.beginTransaction(ctx, pl, stmt, route, Command{Kind: CommandBegin}, maxWait)
 }
 
-func (s *Session) beginTransaction(ctx context.Context, pl *pool, stmt resolvedStatement, route *pb.SiteRoute, begin Command) (*conn, *attempt) {
-	c, err := pl.acquire(ctx, s.urgency(route), s.teamName(), timeout(route))
+// beginTransaction opens a transaction on a connection for which it waits for up to
+// maxWait.
+func (s *Session) beginTransaction(ctx context.Context, pl *pool, stmt resolvedStatement, route *pb.SiteRoute, begin Command, maxWait time.Duration) (*conn, *attempt) {
+	c, err := pl.acquire(ctx, s.urgency(route), s.teamName(), maxWait)
 	if err != nil {
 		a := acquireFailed(err)
-		return nil, &a
+		return nil, a.chooseAgain()
 	}
 	sentAt := now()
 	answers, err := exchange(c, time.Now().Add(beginTimeout), s.setUp(c, stmt), begin)
@@ -227,7 +236,7 @@
 	pl.recordCommand(answers[0].Code, now().Sub(sentAt))
 	if answers[0].Code != CodeNone {
 		a := s.handleNotRun(c, answers[0])
-		return nil, &a
+		return nil, a.chooseAgain()
 	}
 	if begin.Kind == CommandBegin {
 		s.proxy.group(route.Group).positions.add(answers[0].Position, sentAt)
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -122,18 +122,20 @@
 
 func (s *Session) bindOnce(ctx context.Context, stmt resolvedStatement, progress *readProgress) attempt {
 	if !s.tx.readOnly || !replicaAllowed(s.tx.route) {
-		return s.bindAtPrimary(ctx, stmt)
+		return s.bindAtPrimary(ctx, stmt, timeout(s.tx.route))
 	}
 	t, failed := s.chooseTarget(ctx, s.tx.route, progress)
 	if failed != nil {
 		return *failed
 	}
 	if t.primary {
-		return s.bindAtPrimary(ctx, stmt)
+		return s.bindAtPrimary(ctx, stmt, s.queueTimeout())
 	}
-	c, failed := s.beginTransaction(ctx, t.pool, stmt, s.tx.route, Command{Kind: CommandBeginRead, MinPosition: t.minPosition})
+	c, failed := s.beginTransaction(ctx, t.pool, stmt, s.tx.route, Command{Kind: CommandBeginRead, MinPosition: t.minPosition}, s.queueTimeout())
 	if failed != nil {
-		progress.exclude(t.upstream.Id)
+		if failed.reason != reasonNotGranted {
+			progress.exclude(t.upstream.Id)
+		}
 		return *failed
 	}
 	s.tx.conn, s.tx.atPrimary = c, false
@@ -141,8 +143,8 @@
 	return final(Reply{})
 }
 
-func (s *Session) bindAtPrimary(ctx context.Context, stmt resolvedStatement) attempt {
-	c, failed := s.beginAtPrimary(ctx, stmt, s.tx.route)
+func (s *Session) bindAtPrimary(ctx context.Context, stmt resolvedStatement, maxWait time.Duration) attempt {
+	c, failed := s.beginAtPrimary(ctx, stmt, s.tx.route, maxWait)
 	if failed != nil {
 		return *failed
 	}
