A relay answers for a replica that is behind; one read at a time finds out

Each of 32 hosts asked each replica again after at most 0.4 s with all reads that it had then, though the relay between had just passed on the same answer.

The relay answers LAGGING itself while the replica's last answer shows it to lack the position; after each pause one read finds out, for all that share the relay. The pause ends once the replica holds the lacked position and is no further behind in time than that read allowed.

Ruled out: announcements with the replicas' positions (upstreams announce none), and predicting from ages alone (a replica that receives nothing falls further behind while nobody asks).

Tests: choose_test.go calls recordPosition in place of recordLagging, with the position that was lacked; its checks are the same.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -208,7 +208,6 @@
 		c.pool.recordBusy(busyBackoff)
 		return retry(reasonBusy, s.busyRetryDelay(c.pool))
 	case CodeLagging:
-		c.pool.recordLagging(a.Position)
 		return retry(fault.ReasonStale, 0)
 	case CodeNoConnection:
 		c.pool.recordNotGranted(queueTimeout)
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -36,10 +36,20 @@
 // leaving period is over.
 func (p *Proxy) chooseForRead(g *site.GroupView, minPosition upstream.Position, excluded map[string]bool) (candidate, bool) {
 	var room [usualUpstreams]candidate
-	fitting := p.fittingForRead(g, minPosition, excluded, room[:0])
-	if len(fitting) == 0 {
-		return candidate{}, false
+	for {
+		fitting := p.fittingForRead(g, minPosition, excluded, room[:0])
+		if len(fitting) == 0 {
+			return candidate{}, false
+		}
+		// Another read may have just begun to find out whether the replica has
+		// caught up.
+		if c := p.chooseAmong(fitting); c.primary || c.pool.claimRead(minPosition) {
+			return c, true
+		}
 	}
+}
+
+func (p *Proxy) chooseAmong(fitting []candidate) candidate {
 	var knownRoom [usualUpstreams]balance.Candidate
 	known := knownRoom[:0]
 	for _, c := range fitting {
@@ -47,7 +57,7 @@
 	}
 	chosen, reason := balance.Choose(known, rand.Float64)
 	p.choices.count(reason, known[chosen])
-	return fitting[chosen], true
+	return fitting[chosen]
 }
 
 // fittingForRead appends to fitting the upstreams that may serve a read. Those that have
--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -41,7 +41,7 @@
 	at := func(offset upstream.Offset) upstream.Position { return upstream.Position{Term: 3, Offset: offset} }
 	for _, u := range f.parts.Upstreams[1:] {
 		pl, _ := f.proxy.pool(u)
-		pl.recordLagging(at(90))
+		pl.recordPosition(at(95), Answer{Code: CodeLagging, Position: at(90)}, &positions{})
 	}
 	atReplicas := 0
 	for range 300 {
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -33,6 +33,7 @@
 	panics   bool                  // panics at the next statement
 	gate     chan struct{}         // statements wait until it is closed, if set
 	ran      []string              // ids of statements that ran
+	lagged   int                   // statements refused because the log lacks their position
 	open     int                   // connections
 	dials    int                   // connections ever opened
 	full     bool                  // refuses new connections
@@ -168,6 +169,7 @@
 		u.busy--
 		return CodeBusy
 	case command.MinPosition != (upstream.Position{}) && held.Before(command.MinPosition):
+		u.lagged++
 		return CodeLagging
 	case c.state == StateOpen && c.primaryOnly && !u.primary && st.Kind != KindCommit:
 		c.state = StateFailed
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -38,12 +38,6 @@
 	// upstream. The minimum is the round-trip time between regions.
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 500 * time.Millisecond
-	// laggingPauseMin and laggingPauseMax bound how long an upstream that
-	// lacked a position gets no reads that need a newer position than it
-	// held. The minimum is the usual lag of a replica, the maximum a third
-	// of the maximum ages that operators configure.
-	laggingPauseMin = 50 * time.Millisecond
-	laggingPauseMax = 400 * time.Millisecond
 	// connectTime is the time that opening a connection adds to a
 	// statement: 12 ms at the upstream and round trips of up to 40 ms. It
 	// is counted only where connections are scarce; elsewhere they stay
@@ -185,28 +179,6 @@
 	p.concurrency.onRefusal(at)
 }
 
-// recordLagging records that the upstream lacked a position and which one it held
-// instead. Until a pause has passed, the upstream gets no reads that need a newer
-// position. The pause doubles each time until the upstream has caught up.
-func (p *pool) recordLagging(position upstream.Position) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.laggingPosition = position
-	at := now()
-	if at.Before(p.laggingUntil) {
-		return
-	}
-	p.laggingPause = min(max(2*p.laggingPause, laggingPauseMin), laggingPauseMax)
-	p.laggingUntil = at.Add(p.laggingPause)
-}
-
-// recordCaughtUp records that the upstream held a position that a read needed.
-func (p *pool) recordCaughtUp() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.laggingPause, p.laggingUntil = 0, time.Time{}
-}
-
 // estimate is what the proxy expects of an upstream for one more statement.
 type estimate struct {
 	// wait is the expected time until the answer.
@@ -234,7 +206,7 @@
 		wait:       wait + known.Overhead,
 		known:      known,
 		backingOff: p.failures > 0 || at.Before(p.backoffUntil),
-		behind:     at.Before(p.laggingUntil) && p.laggingPosition.Before(minPosition),
+		behind:     p.lag.lacks(minPosition, at),
 	}
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -9,7 +9,6 @@
 	"github.com/uber-go/tally/v4"
 
 	pb "lovageslip/gen/lovageslip/v1"
-	"lovageslip/upstream"
 )
 
 const (
@@ -70,12 +69,8 @@
 	failures     int
 	failedSince  time.Time
 	backoffUntil time.Time
-	// laggingPosition is what the upstream held when it last lacked a
-	// position. Until laggingUntil it gets no reads that need a newer one;
-	// laggingPause is the length of that pause.
-	laggingPosition upstream.Position
-	laggingUntil    time.Time
-	laggingPause    time.Duration
+	// lag is what is known of how far a replica is behind.
+	lag replicaLag
 }
 
 // waiter is a statement that waits for a connection.
@@ -137,6 +132,7 @@
 		metrics:      tally.NoopScope,
 		serviceTime:  float64(initialServiceTime / time.Millisecond),
 		answerTime:   initialServiceTime,
+		lag:          replicaLag{pauseMax: laggingPauseMax},
 	}
 }
 
@@ -145,6 +141,7 @@
 func newRelayedPool(relays Relays, u *pb.SiteUpstream) *pool {
 	p := newPool(relays, u, relayedQuota)
 	p.relays = relays
+	p.lag.pauseMax = relayedPauseMax
 	p.pacer = unpacedDials()
 	p.concurrency = unlimitedConcurrency()
 	return p
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -109,8 +109,8 @@
 	command.MinPosition = t.minPosition
 	sentAt := now()
 	answers, err := exchange(c, time.Now().Add(readTimeout(t.pool, route, progress)), s.setUp(c, stmt), command)
-	if err == nil && answers[0].Code == CodeNone {
-		t.pool.recordCaughtUp()
+	if err == nil {
+		t.pool.recordPosition(t.minPosition, answers[0], &s.proxy.group(route.Group).positions)
 	}
 	a := s.finishRead(c, stmt, progress, sentAt, answers, err)
 	a.minPosition = t.minPosition
@@ -225,6 +225,7 @@
 		return nil, &a
 	}
 	pl.recordCommand(answers[0].Code, now().Sub(sentAt))
+	pl.recordPosition(begin.MinPosition, answers[0], &s.proxy.group(route.Group).positions)
 	if answers[0].Code != CodeNone {
 		a := s.handleNotRun(c, answers[0])
 		return nil, &a
--- a/proxy/relayedconn.go
+++ b/proxy/relayedconn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovageslip/fault"
+	"lovageslip/upstream"
 )
 
 // RelayedConn runs the commands that another proxy sends on one of its virtual
@@ -92,6 +93,9 @@
 	if r.bound != nil && carriesCaller(commands) && r.bound.team.name != turn.Team {
 		return nil, &TeamChanged{Bound: r.bound.team.name, Team: turn.Team}
 	}
+	if held, withheld := r.withhold(commands); withheld {
+		return append(answers, laggingAnswers(held, len(commands))...), nil
+	}
 	if err := r.bind(ctx, turn, commands); err != nil {
 		return append(answers, notConnected(err, len(commands))...), nil
 	}
@@ -124,6 +128,29 @@
 	return commands[len(commands)-1].Kind != CommandRollback
 }
 
+// withhold reports whether the upstream is likely to lack the position that the first
+// command needs, and which one it holds.
+func (r *RelayedConn) withhold(commands []Command) (held upstream.Position, withheld bool) {
+	if r.bound != nil {
+		return upstream.Position{}, false
+	}
+	pl, ok := r.proxy.directPool(r.key)
+	if !ok {
+		return upstream.Position{}, false
+	}
+	held, withheld = pl.withhold(commands[0].MinPosition)
+	if withheld {
+		r.proxy.metrics.Counter("reads_withheld_total").Inc(1)
+	}
+	return held, withheld
+}
+
+// laggingAnswers returns the answers to n commands that a relay refuses for an upstream
+// that holds a position.
+func laggingAnswers(held upstream.Position, n int) []Answer {
+	return slices.Repeat([]Answer{{Code: CodeLagging, State: StateIdle, Position: held}}, n)
+}
+
 // bind takes a connection from the pool unless a transaction holds one.
 func (r *RelayedConn) bind(ctx context.Context, turn Turn, commands []Command) error {
 	if r.bound != nil {
@@ -193,6 +220,7 @@
 		return nil, &fault.IO{Op: "relay to upstream", Err: err}
 	}
 	c.pool.recordRelayed(commands[0], answers[0].Code, now().Sub(sentAt))
+	c.pool.recordPosition(commands[0].MinPosition, answers[0], &r.proxy.group(c.pool.group()).positions)
 	// The connection reuses the slice as soon as it is back in the pool.
 	answers = slices.Clone(answers)
 	if answers[len(answers)-1].State == StateIdle {
