Metrics of each upstream: outcomes, part with a choice, expected wait

Change: upstream_statements_total by outcome and path, upstream_served_total by choice, upstream_expected_wait_seconds; at most 256 upstreams have series of their own. The line 'statement served' says whether there was a choice.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -236,24 +236,25 @@
 	p.metrics.Tagged(map[string]string{"reason": r.Reason}).Counter("refused_total").Inc(1)
 }
 
-// recordMix records whether another upstream could have run a statement.
-func (s *Session) recordMix(st *Statement, took time.Duration) {
-	route, ok := s.proxy.View().Route(s.database)
-	if !ok {
-		return
-	}
+// hasChoice reports whether another upstream of the route's group could run a statement.
+func (s *Session) hasChoice(st *Statement, route *pb.SiteRoute) bool {
 	readOnly := st.Kind == KindRead || st.Kind == KindExecute && s.prepared[st.Name].readOnly
 	if s.tx != nil {
 		readOnly = s.tx.readOnly
 	}
-	s.proxy.group(route.Group).mix.add(now(), took, !readOnly || !replicaAllowed(route))
+	return readOnly && replicaAllowed(route)
 }
 
 // recordServed records the metrics, the mean time and the log line of a statement
 // that an upstream has run.
 func (s *Session) recordServed(st *Statement, c *conn, took time.Duration, a Answer) {
 	s.proxy.metrics.Timer("statement_seconds").Record(took)
-	s.recordMix(st, took)
+	choice := false
+	if route, ok := s.proxy.View().Route(s.database); ok {
+		choice = s.hasChoice(st, route)
+		s.proxy.group(route.Group).mix.add(now(), took, !choice)
+	}
+	c.pool.upstreamMetrics.countServed(choice)
 	switch {
 	case s.tx == nil:
 		s.proxy.operationTimes.add(s.operationKind(), took)
@@ -267,6 +268,7 @@
 	attributes := []slog.Attr{
 		slog.String("request", st.ID), slog.String("database", s.database), slog.String("upstream", c.pool.id()),
 		slog.Duration("took", took), slog.Any("position", a.Position), slog.Duration("since_begin", now().Sub(s.operationStart)),
+		slog.Bool("choice", choice),
 	}
 	if leavingFor, ok := c.pool.leavingFor(); ok {
 		s.proxy.metrics.Counter("statements_on_leaving_upstreams_total").Inc(1)
--- a/proxy/choose.go
+++ b/proxy/choose.go
@@ -23,6 +23,7 @@
 	// known and backingOff are the proxy's estimate for the choice.
 	known      balance.Candidate
 	backingOff bool
+	wait       time.Duration
 }
 
 // usualUpstreams is how many upstreams of a group are considered without an allocation.
@@ -57,6 +58,7 @@
 	}
 	chosen, reason := balance.Choose(known, rand.Float64)
 	p.choices.count(reason, known[chosen])
+	fitting[chosen].pool.upstreamMetrics.updateWait(fitting[chosen].wait)
 	return fitting[chosen]
 }
 
@@ -73,7 +75,7 @@
 			continue
 		}
 		e := pl.estimate(minPosition)
-		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary, known: e.known, backingOff: e.backingOff}
+		c := candidate{upstream: u, pool: pl, primary: u.Id == g.Primary, known: e.known, backingOff: e.backingOff, wait: e.wait}
 		// The primary holds every position.
 		if e.behind && !c.primary {
 			continue
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -57,6 +57,7 @@
 func (p *pool) recordDialFailureLocked(err error, open int) {
 	if noRoom(err) {
 		// The upstream is reachable but has no free connection or slot.
+		p.upstreamMetrics.countOutcome(CodeTooManyConnections)
 		p.lastAnswerAt = now()
 		p.backoffUntil = now().Add(backoffMin)
 		p.pacer.onRefusal(now(), open)
@@ -88,6 +89,9 @@
 
 // recordCommand records the answer to a command that needs no slot.
 func (p *pool) recordCommand(code Code, took time.Duration) {
+	if code != CodeNone {
+		p.upstreamMetrics.countOutcome(code)
+	}
 	if code.fromUpstream() {
 		p.recordAnswer(took)
 	}
@@ -160,6 +164,7 @@
 
 // recordStatement records the answer to a statement, whether it ran or not.
 func (p *pool) recordStatement(code Code, took time.Duration) {
+	p.upstreamMetrics.countOutcome(code)
 	switch {
 	case !code.fromUpstream():
 	case code.NotRun():
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -24,8 +24,9 @@
 type pool struct {
 	dialer Dialer
 	// relays is set if the connections lead through relays; see relayed.go.
-	relays  Relays
-	metrics tally.Scope
+	relays          Relays
+	metrics         tally.Scope
+	upstreamMetrics *upstreamMetrics
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -130,9 +131,11 @@
 		concurrency:  newConcurrencyLimit(),
 		teams:        map[string]*poolTeam{},
 		metrics:      tally.NoopScope,
-		serviceTime:  float64(initialServiceTime / time.Millisecond),
-		answerTime:   initialServiceTime,
-		lag:          replicaLag{pauseMax: laggingPauseMax},
+
+		upstreamMetrics: newUpstreamMetrics(tally.NoopScope, "", ""),
+		serviceTime:     float64(initialServiceTime / time.Millisecond),
+		answerTime:      initialServiceTime,
+		lag:             replicaLag{pauseMax: laggingPauseMax},
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -96,6 +96,8 @@
 	pools        map[poolKey]*pool
 	relayedPools map[poolKey]*pool
 	groups       map[string]*group
+	// withMetrics holds the ids of the upstreams that have metrics of their own.
+	withMetrics map[string]bool
 }
 
 // poolKey identifies one process of an upstream, so that a restarted upstream
@@ -127,6 +129,7 @@
 		pools:        make(map[poolKey]*pool),
 		relayedPools: make(map[poolKey]*pool),
 		groups:       make(map[string]*group),
+		withMetrics:  make(map[string]bool),
 	}
 	p.choices = newChoiceMetrics(p.metrics)
 	p.view.Store(site.NewView(site.ViewParts{}))
@@ -187,6 +190,7 @@
 	if _, ok := p.pools[key]; !ok {
 		p.pools[key] = newPool(p.options.Dialer, u, quota)
 		p.pools[key].metrics = p.metrics
+		p.pools[key].upstreamMetrics = p.upstreamMetricsLocked(u.Id, "direct")
 	}
 	p.pools[key].update(u, newWorkUntil, quota)
 }
@@ -194,6 +198,7 @@
 func (p *Proxy) updateRelayedPool(key poolKey, u *pb.SiteUpstream, newWorkUntil time.Time) {
 	if _, ok := p.relayedPools[key]; !ok {
 		p.relayedPools[key] = newRelayedPool(p.options.Relays, u)
+		p.relayedPools[key].upstreamMetrics = p.upstreamMetricsLocked(u.Id, "relay")
 	}
 	p.relayedPools[key].update(u, newWorkUntil, relayedQuota)
 }
