Proxies that have turned to another control host together stay there

TestNoReturnToAControlHostThatHasJustFailed now sets such a list; its checks are the same. TestProxiesThatAreTogetherStay is new and fails without the change.

--- a/sitewatch/prefer.go
+++ b/sitewatch/prefer.go
@@ -167,12 +167,22 @@
 		return ok && now.Sub(at) < returnAfter
 	})
 	target := w.preferredOf(usable)
-	if leaving || target == watched {
+	if leaving || target == watched || !w.mayReturn() {
 		return ""
 	}
 	return target
 }
 
+// mayReturn reports whether a return brings proxies of the data centre together. Those that
+// have all turned to the same host after a failure stay there: they would not return at
+// the same moment, and would be apart meanwhile. After its first watch a proxy can't
+// tell, because others may have chosen before their control hosts had started.
+func (w *Watch) mayReturn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.failedAt) == 0 || len(w.parts.Relays) < w.mostRelays
+}
+
 // takeReturn returns the control host that the watch of an address should turn to, and
 // forgets it.
 func (w *Watch) takeReturn(address string) string {
--- a/sitewatch/prefer_test.go
+++ b/sitewatch/prefer_test.go
@@ -80,6 +80,7 @@
 	w.connectTimes["a"] = connectTime{shortest: time.Millisecond, measured: 1}
 	w.connectTimes["b"] = connectTime{shortest: time.Second, measured: 1}
 	w.watchedAddress = "b"
+	w.mostRelays = 1 // none are listed now, so proxies of the data centre are apart
 	assert.Equal(t, w.returnTarget(bootclock.Now()), "a")
 	w.recordFailure("a")
 	assert.Equal(t, w.returnTarget(bootclock.Now()), "")
@@ -87,3 +88,22 @@
 	w.Leave()
 	assert.Equal(t, w.returnTarget(bootclock.Now().Add(returnAfter)), "")
 }
+
+// Guards against proxies of a data centre that leave the host to which all of them have
+// turned, each at another moment, so that they use different relays meanwhile.
+func TestProxiesThatAreTogetherStay(t *testing.T) {
+	w := New(Options{DataCentre: "here", Log: slog.New(slog.DiscardHandler)})
+	relays := func(index uint64, n int) {
+		update := &pb.SiteUpdate{Index: index, RelaysChanged: true, Relays: make([]*pb.RelayHost, n)}
+		assert.Assert(t, w.applyUpdate("b", update, make(viewChannel, 10)))
+	}
+	relays(1, 2)
+	assert.Assert(t, w.mayReturn(), "no watch has failed; others may have chosen before")
+	w.recordFailure("a")
+	relays(2, 5)
+	assert.Assert(t, !w.mayReturn())
+	relays(3, 2)
+	assert.Assert(t, w.mayReturn())
+	relays(4, 5)
+	assert.Assert(t, !w.mayReturn())
+}
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -107,7 +107,9 @@
 	answeredReportAt time.Time
 
 	watchedAddress string // address of the last control host that sent an update
-	lastUpdateAt   time.Time
+	// mostRelays is the length of the longest list of relays so far.
+	mostRelays   int
+	lastUpdateAt time.Time
 	// watching is set while the watch of watchedAddress lasts. Reports after it would
 	// make that host count the proxy beside the next one.
 	watching bool
@@ -398,6 +400,7 @@
 	}
 	if u.RelaysChanged {
 		w.parts.Relays = u.Relays
+		w.mostRelays = max(w.mostRelays, len(u.Relays))
 	}
 	parts, currentAt := w.parts, w.currentAt
 	w.mu.Unlock()
