Late and patient work takes turns where more proxies than slots share an upstream

Cause: where an upstream has fewer slots than proxies send to it, one statement of each proxy fills its queue, which it serves in the order of arrival. Traces of TestHeavyPatterns: late work and reads with 3 s left, which go last at their own proxy, were ahead of urgent work of other proxies there; each statement of a transaction waited 35 ms (with long work 75 ms), so that hardly any of those with a target of 300 ms ended in time, also for 3 s after the load had fallen.

Change: an operation that is late, or has twice the shortest target of its group's routes to spare, uses 1.2 times the proxy's part of the slots, for as long as other work has had to wait within the last second. Relays, upstreams with a slot for each proxy, unknown numbers of slots and routes without a target are as before.

--- a/proxy/concurrency.go
+++ b/proxy/concurrency.go
@@ -121,7 +121,13 @@
 const usableShare = 0.9
 
 func (u urgency) canMeetTarget(at time.Time) bool {
-	return u.target == math.MaxInt64 || float64(at.Sub(u.arrivedAt)+u.expected) < usableShare*float64(u.target)
+	return u.target == math.MaxInt64 || u.spare(at) > 0
+}
+
+// spare returns how much longer an operation may wait and still be expected to end in
+// time.
+func (u urgency) spare(at time.Time) time.Duration {
+	return time.Duration(usableShare*float64(u.target)) - at.Sub(u.arrivedAt) - u.expected
 }
 
 // mostUrgent returns the index of the statement to send next. Operations that
--- a/proxy/grant.go
+++ b/proxy/grant.go
@@ -76,7 +76,7 @@
 			list = append(list, w)
 		}
 	}
-	return list
+	return p.skipYieldingLocked(list, r.at)
 }
 
 // mayOpen reports whether a connection can be opened while none is idle.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -48,6 +48,7 @@
 	relayedAt   time.Time
 	pacer       dialPacer
 	concurrency concurrencyLimit
+	yielding    yielding
 	waiters     []*waiter
 	// teams holds the teams that share the connections, by name.
 	teams map[string]*poolTeam
@@ -87,6 +88,8 @@
 	granted  chan grant // buffers one
 	// passedIn is the last round of grants that could give it no connection.
 	passedIn uint64
+	// yielded is set once it was left out for other work.
+	yielded bool
 }
 
 // wanted says which connections serve a statement.
@@ -165,6 +168,13 @@
 	p.grantLocked()
 }
 
+// setYielding replaces what the view says about the work that yields.
+func (p *pool) setYielding(y yielding) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.yielding.part, p.yielding.shortestTarget = y.part, y.shortestTarget
+}
+
 // setQuota changes the quota if it differs.
 func (p *pool) setQuota(quota connectionQuota) {
 	p.mu.Lock()
@@ -328,7 +338,11 @@
 		return nil, nil, upstreamGone()
 	}
 	at, t := now(), p.teamLocked(want.team)
-	if len(p.waiters) == 0 && p.concurrency.allows(p.inFlight, at) {
+	allowed := p.concurrency.allows(p.inFlight, at)
+	if !allowed {
+		p.yielding.recordWaiting(u, at)
+	}
+	if len(p.waiters) == 0 && allowed && !p.mustYieldLocked(u, at) {
 		if c := p.popIdleLocked(t, want.any); c != nil {
 			return c, nil, nil
 		}
@@ -371,6 +385,7 @@
 func (p *pool) endInFlightLocked(c *conn) {
 	if c.countedInFlight {
 		c.countedInFlight = false
+		p.yielding.endedAt = now()
 		c.team.inFlight--
 		p.inFlight--
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -154,6 +154,7 @@
 			inView[key], relayed[key] = true, useRelays
 			newWorkUntil := p.newWorkUntil(v, u)
 			p.updatePool(key, u, newWorkUntil, p.directQuota(g, key, homeID, useRelays, v.Proxies))
+			p.pools[key].setYielding(newYielding(v, u, useRelays))
 			if useRelays {
 				p.updateRelayedPool(key, u, newWorkUntil)
 			}
--- a/site/view.go
+++ b/site/view.go
@@ -37,6 +37,8 @@
 	groups map[string]*GroupView
 	sorted []*GroupView // by name
 
+	shortestTargets map[string]time.Duration // by group
+
 	hasTeams  bool
 	needsKeys bool
 	teams     map[Digest]*Team // by the digests of their keys
@@ -60,6 +62,9 @@
 	return r, ok
 }
 
+// ShortestTarget returns the shortest target of a group's routes; 0 if none has one.
+func (v *View) ShortestTarget(group string) time.Duration { return v.shortestTargets[group] }
+
 // Group returns a group by name.
 func (v *View) Group(name string) (*GroupView, bool) {
 	g, ok := v.groups[name]
@@ -123,11 +128,14 @@
 		routes: make(map[string]*pb.SiteRoute),
 		groups: make(map[string]*GroupView),
 
+		shortestTargets: make(map[string]time.Duration),
+
 		hasTeams: len(p.Config.GetTeams()) > 0,
 		teams:    teamsByKey(p.Config.GetTeams()),
 	}
 	for _, r := range p.Config.GetRoutes() {
 		v.needsKeys = v.needsKeys || (v.hasTeams && !r.Open)
+		v.addTarget(r)
 		if other, ok := v.routes[r.Database]; !ok || len(r.Prefix) < len(other.Prefix) {
 			v.routes[r.Database] = r
 		}
@@ -140,6 +148,13 @@
 	return v
 }
 
+func (v *View) addTarget(r *pb.SiteRoute) {
+	target := time.Duration(r.TargetMs) * time.Millisecond
+	if shortest, ok := v.shortestTargets[r.Group]; target > 0 && (!ok || target < shortest) {
+		v.shortestTargets[r.Group] = target
+	}
+}
+
 func (v *View) addUpstreams(p ViewParts) {
 	for _, u := range p.Upstreams {
 		if g, ok := v.groups[u.Group]; ok {
