--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -157,6 +157,7 @@
 			inView[key], relayed[key] = true, useRelays
 			newWorkUntil := p.newWorkUntil(v, u)
 			p.updatePool(key, u, newWorkUntil, p.directQuota(v, g, key, homeID, useRelays))
+			p.pools[key].setYielding(newYielding(v, u, useRelays))
 			if useRelays {
 				p.updateRelayedPool(key, u, newWorkUntil)
 			}
