Proxies that were asked during an outage are asked in earnest again

Cause: a proxy that is asked whether it reaches an upstream connects to it only if it knows nothing. After one failure it knew: its direct pool of an upstream for which it uses a relay is checked by nobody, so it answered 'unreachable' ever after. Once an upstream had been down for a search, no later search found a substitute for its relay. Pools that serve the proxy's own callers are left to their checks.

--- a/proxy/relayedconn.go
+++ b/proxy/relayedconn.go
@@ -44,7 +44,9 @@
 // Reachability has an answer afterwards. It takes up to probeTimeout.
 func (p *Proxy) Probe(ctx context.Context, id, address string, bornMs int64) {
 	pl, ok := p.directPool(poolKey{id: id, address: address, bornMs: bornMs})
-	if !ok || !pl.claimProbe() {
+	// Without a relay the pool serves this proxy's own callers, and is checked.
+	checked := p.options.Relays == nil || !p.options.Relays.HasRelay(id)
+	if !ok || !pl.claimProbe(checked) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/proxy/substitute.go
+++ b/proxy/substitute.go
@@ -50,12 +50,17 @@
 	return !p.relayedAt.IsZero() && since(p.relayedAt) < relayingWindow
 }
 
-// claimProbe reports whether nothing is known of the upstream and nobody is finding
-// out. If so, the caller must call probe.
-func (p *pool) claimProbe() bool {
+// claimProbe reports whether nothing is known of the upstream, or only that it has failed
+// and its backoff is over, and nobody is finding out. If so, the caller must call probe.
+// An upstream that failed is left alone if the proxy checks it by itself.
+func (p *pool) claimProbe(checked bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.failures > 0 || since(p.lastAnswerAt) < stalledAfter
+	at := now()
+	known := at.Sub(p.lastAnswerAt) < stalledAfter
+	if p.failures > 0 {
+		known = checked || at.Before(p.backoffUntil)
+	}
 	if known || p.checking || p.closed {
 		return false
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -461,6 +461,29 @@
 	assert.Assert(t, time.Since(begunAt) < 5*time.Second, "%v", time.Since(begunAt))
 }
 
+func (s *fakeSite) setUnreachable(id string) {
+	for _, p := range s.proxies {
+		p.mu.Lock()
+		p.unreachable = id
+		p.mu.Unlock()
+	}
+}
+
+// Guards against proxies that say for ever that they don't reach an upstream, once they
+// were asked while it was down: no later search for a relay found one.
+func TestPeerThatFailedOnceIsTriedAgain(t *testing.T) {
+	s := newFakeSite(t, 4, 4)
+	c, u := s.proxies[0].client, s.parts.Upstreams[0]
+	s.setUnreachable(u.Id)
+	assert.Assert(t, !c.FindRelay(context.Background(), u))
+	s.setUnreachable("")
+	for _, p := range c.rankedPeers(u.Id) {
+		waitFor(t, p.host.Name+" to say that it reaches the upstream", func() bool {
+			return c.reaches(context.Background(), p, u)
+		})
+	}
+}
+
 // Guards against a silent peer that hides those behind it from a host with one core, which
 // asked one after the other.
 func TestSilentPeerHidesNoOther(t *testing.T) {
