A search for a relay begins anew after 4 s

Cause: searches of an earlier failure were continued at the rank where they had ended, for as long as the process ran. Proxies then chose different substitutes, and avoided peers for 8 s that they had not asked. The map of searches grew with upstream ids. Change: a search is forgotten after 4 s without another.

--- a/relay/client.go
+++ b/relay/client.go
@@ -60,9 +60,9 @@
 	// avoidSelf holds until when this proxy is not the relay for an upstream that
 	// it does not reach.
 	avoidSelf map[string]time.Time
-	// searched holds by upstream how many peers the searches for a substitute of its
-	// relay have asked since one was found.
-	searched map[string]int
+	// searched holds the last search for a substitute of a relay by upstream, for
+	// searchMemory or until one was found.
+	searched map[string]search
 	// gone holds when peers left the list, for goneMemory.
 	gone map[string]time.Time
 	// onPeers is called after each change of peers, if set.
@@ -96,7 +96,7 @@
 		chosen:  make(map[string]*peer),
 
 		avoidSelf: make(map[string]time.Time),
-		searched:  make(map[string]int),
+		searched:  make(map[string]search),
 		gone:      make(map[string]time.Time),
 	}
 }
--- a/relay/find.go
+++ b/relay/find.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/sourcegraph/conc/iter"
 
@@ -54,15 +56,29 @@
 	return usable
 }
 
+// search is one search for a substitute.
+type search struct {
+	// next is the rank of the peer with which the next search begins.
+	next int
+	at   time.Time
+}
+
+// searchMemory is for how long a search is continued by the next one. While an upstream
+// is unreachable, searches follow each other within a second; after a longer time it has
+// been reachable, and all proxies begin with the same peers again.
+const searchMemory = 4 * time.Second
+
 // nextSearch returns the rank of the first peer that is asked now, out of n.
 func (c *Client) nextSearch(upstreamID string, n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := c.searched[upstreamID]
+	now := bootclock.Now()
+	maps.DeleteFunc(c.searched, func(_ string, s search) bool { return now.Sub(s.at) >= searchMemory })
+	first := c.searched[upstreamID].next
 	if first >= n {
 		first = 0
 	}
-	c.searched[upstreamID] = first + maxProbedPeers
+	c.searched[upstreamID] = search{next: first + maxProbedPeers, at: now}
 	return first
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -484,6 +484,17 @@
 	}
 }
 
+// Guards against proxies that go on with a search of an earlier failure: they would choose
+// different substitutes, and avoid proxies that they have not asked.
+func TestSearchAfterAnotherFailureBeginsAnew(t *testing.T) {
+	s := newFakeSite(t, 6, 4)
+	c, u := s.proxies[0].client, s.parts.Upstreams[0]
+	first := c.rankedPeers(u.Id)[0]
+	c.searched[u.Id] = search{next: maxProbedPeers, at: bootclock.Now().Add(-searchMemory)}
+	assert.Assert(t, c.FindRelay(context.Background(), u))
+	assert.Equal(t, c.relay(u.Id).host.Name, first.host.Name)
+}
+
 // Guards against a silent peer that hides those behind it from a host with one core, which
 // asked one after the other.
 func TestSilentPeerHidesNoOther(t *testing.T) {
