--- a/proxy/read.go
+++ b/proxy/read.go
@@ -59,8 +59,10 @@
 		return target{}, &a
 	}
 	minPosition, found := s.minPosition(ctx, route)
-	c, ok := s.proxy.chooseForRead(view, minPosition, progress.excluded)
-	if !found {
+	var c candidate
+	if found {
+		c, ok = s.proxy.chooseForRead(view, minPosition, progress.excluded)
+	} else {
 		// Only the primary can prove that its data are fresh enough.
 		c, ok = s.primaryCandidate(route.Group)
 	}
