Control hosts leave room for the counters that stand in for them

Cause: when the control host that counts a team is suspended, restarted or cut off, its substitute grants 0.65 of the limit, with tokens for 0.65 of the burst and of the slack; when the first host comes back, its tokens have come back too. A team that sends many times its limit gets a burst at each change.

Change: substitutes have a burst of at most 0.25 s of the rate, and control hosts use half of the slack. Sites without control hosts as counters, or without teams, are as before.

A message that tells the first host what substitutes granted would be exact, and needs a field in AdmitRequest.

--- a/sitecontrol/limits.go
+++ b/sitecontrol/limits.go
@@ -16,6 +16,17 @@
 // covers what teams usually send: limits are stated at about 1.6 times of it.
 const substitutePart = 0.65
 
+const (
+	// substituteBurst is the burst of a team's limit at a substitute, as time at the
+	// team's rate: data centres ask for what they need in about as long. A
+	// substitute that could grant a whole burst of its own would let a team have
+	// two of them in a window each time that its counter is lost for a moment.
+	substituteBurst = 250 * time.Millisecond
+	// counterSlack is the part of the tolerance's slack that control hosts use. The
+	// rest is left for substitutes and for counters that forget what they granted.
+	counterSlack = 0.5
+)
+
 // Admit implements SiteService. The host grants out of the limit of its own state. It
 // needs no leader: proxies choose one host for each team.
 func (s *Server) Admit(_ context.Context, r *connect.Request[pb.AdmitRequest]) (*connect.Response[pb.AdmitResponse], error) {
@@ -26,12 +37,8 @@
 	if team.RatePerSecond == nil {
 		return connect.NewResponse(&pb.AdmitResponse{Admitted: r.Msg.Operations}), nil
 	}
-	share := quota.Fixed(1)
-	share.Since = s.startedAt
-	if r.Msg.Substitute {
-		share = quota.Fixed(substitutePart)
-	}
 	limit := quota.Limit{RatePerSecond: team.GetRatePerSecond(), Burst: team.GetBurst()}
+	share, limit := counterTerms(limit, r.Msg.Substitute, s.startedAt)
 	admitted, retryAfter := s.limiter.Admit(now(), team.Name, limit, share, int(r.Msg.Operations))
 	s.metrics.Counter("operations_granted_total").Inc(int64(admitted))
 	s.metrics.Counter("operations_denied_total").Inc(int64(r.Msg.Operations) - int64(admitted))
@@ -41,6 +48,24 @@
 	}), nil
 }
 
+// counterQuota returns the tolerance that control hosts use.
+func counterQuota(o quota.Options) quota.Options {
+	o.Slack *= counterSlack
+	return o
+}
+
+// counterTerms returns the share and the limit of a team at a control host that started
+// at a time.
+func counterTerms(limit quota.Limit, substitute bool, startedAt time.Time) (quota.Share, quota.Limit) {
+	if substitute {
+		limit.Burst = min(limit.Burst, limit.RatePerSecond*substituteBurst.Seconds())
+		return quota.Fixed(substitutePart), limit
+	}
+	share := quota.Fixed(1)
+	share.Since = startedAt
+	return share, limit
+}
+
 // team returns a team of the configuration in force, or nil.
 func (s *Server) team(name string) *pb.SiteTeam {
 	state, _, _ := s.options.State.Current()
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -167,7 +167,7 @@
 		log:           logging.For(o.Log, "control"),
 		metrics:       metrics.OrNoop(o.Metrics).SubScope("control"),
 		clients:       NewClients(o.HTTPClient),
-		limiter:       quota.New(o.Quota),
+		limiter:       quota.New(counterQuota(o.Quota)),
 		startedAt:     now(),
 		reports:       make(map[string]report),
 		watches:       make(map[string]uint64),
