--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -107,9 +107,9 @@
 	answeredReportAt time.Time
 
 	watchedAddress string // address of the last control host that sent an update
+	lastUpdateAt   time.Time
 	// mostRelays is the length of the longest list of relays so far.
-	mostRelays   int
-	lastUpdateAt time.Time
+	mostRelays int
 	// watching is set while the watch of watchedAddress lasts. Reports after it would
 	// make that host count the proxy beside the next one.
 	watching bool
