Limits near the largest number admit operations

Cause: a configuration may state any finite rate and burst. Above about 3e307 the sum over a window is infinite, the room of a bucket is no number, and all operations of the team are refused, although its limit is the highest.

Change: rate and burst are bounded to 1e12 where a bucket's terms are worked out.

Measured: TestLargestLimitsAdmitOperations, 0 of admitted before, all after. Ruled out: 1e15 as the bound, where sums are off by an operation.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -35,6 +35,10 @@
 	// minPerWindow is the least that a team that may run anything may run in a
 	// window. With less, a limit without a burst would hardly ever admit one.
 	minPerWindow = 1
+	// maxLimit bounds the rate, in operations a second, and the burst of a limit. It is
+	// far above what a site can run, and sums of such numbers are exact to a
+	// thousandth of an operation; those of the largest numbers overflow.
+	maxLimit = 1e12
 	// minRetryAfter is the shortest time to come back. Earlier than after a few
 	// round trips the answer is hardly ever another one.
 	minRetryAfter = 50 * time.Millisecond
@@ -146,7 +150,7 @@
 // together admit at most RatePerSecond x Window + Burst and the steady parts of the
 // tolerance in a window, however it lies; new ones add their start.
 func (l *Limiter) termsOf(limit Limit, share Share) terms {
-	rate, burst := max(limit.RatePerSecond, 0), max(limit.Burst, 0)
+	rate, burst := min(max(limit.RatePerSecond, 0), maxLimit), min(max(limit.Burst, 0), maxLimit)
 	seconds := l.options.Window.Seconds()
 	over := l.options.Over * (rate*seconds + burst)
 	steady := steadyOver*over + steadySlack*l.options.Slack
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -159,3 +159,23 @@
 	admitted, _ = l.Admit(epoch.Add(time.Second), "a", limit, Fixed(1), math.MaxInt32)
 	assert.Assert(t, admitted <= 1)
 }
+
+// Guards against a team with the largest limits that a configuration can state, all of
+// whose operations were refused: sums of them overflowed to no number.
+func TestLargestLimitsAdmitOperations(t *testing.T) {
+	for _, limit := range []Limit{{math.MaxFloat64, math.MaxFloat64}, {0, math.MaxFloat64}, {1e18, 1e18}} {
+		for _, o := range []Options{tolerance, {}} {
+			l := New(o)
+			for _, share := range []float64{1, 0.5, 1} {
+				admitted, retryAfter := l.Admit(epoch, "a", limit, Fixed(share), math.MaxUint32)
+				assert.Equal(t, admitted, math.MaxUint32, "%+v with a share of %v", limit, share)
+				assert.Equal(t, retryAfter, time.Duration(0))
+			}
+		}
+	}
+	rateOnly := Limit{RatePerSecond: math.MaxFloat64}
+	l := New(Options{})
+	l.Admit(epoch, "a", rateOnly, Fixed(1), 1)
+	admitted, _ := l.Admit(epoch.Add(time.Second), "a", rateOnly, Fixed(1), math.MaxUint32)
+	assert.Equal(t, admitted, minTokens)
+}
