Counters of data centres leave room for one that is killed and back in a window

The case is a fault: a counter is killed 6 s after the limit was lowered, and back 2 s later. The one that stands in and the new one both begin with a start in the window, and the others decide alone until they have found them.

Change: counters of data centres use 0.8 of the tolerance. Control hosts, which count while any answers, are as before.

--- a/relay/limits.go
+++ b/relay/limits.go
@@ -84,8 +84,8 @@
 		options: o,
 		log:     logging.For(o.Log, "limits"),
 		metrics: metrics.OrNoop(o.Metrics).SubScope("limits"),
-		counted: quota.New(o.Quota),
-		alone:   quota.New(o.Quota),
+		counted: quota.New(dataCentreQuota(o.Quota)),
+		alone:   quota.New(dataCentreQuota(o.Quota)),
 		proxies: highest{period: proxiesMemory},
 		batches: make(map[string]*batches),
 
@@ -100,6 +100,19 @@
 	return l
 }
 
+// dataCentreTolerance is the part of a site's tolerance that the counters of data centres
+// use. The rest is for a counter that is killed and is back within the same window: the
+// one that stood in for it and the new one then both begin with a start, and other
+// proxies decide alone until they have found them.
+const dataCentreTolerance = 0.8
+
+// dataCentreQuota returns the tolerance that the counters of data centres use.
+func dataCentreQuota(o quota.Options) quota.Options {
+	o.Over *= dataCentreTolerance
+	o.Slack *= dataCentreTolerance
+	return o
+}
+
 // Admit implements proxy.Limits.
 func (l *Limits) Admit(_ context.Context, team *site.Team) (ok bool, retryAfter time.Duration) {
 	if l.counter(team.Name) == nil {
--- a/relay/limits_model_test.go
+++ b/relay/limits_model_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"lovageslip/quota"
@@ -81,7 +82,7 @@
 }
 
 func (s *modelSite) restart(p *modelProxy) {
-	o := modelQuota
+	o := dataCentreQuota(modelQuota)
 	o.Draw = s.draw
 	p.shares = quota.Shares{}
 	p.counted, p.alone = quota.New(o), quota.New(o)
@@ -358,17 +359,47 @@
 			}
 			return s.proxies[i]
 		}
-		for _, what := range disturbances {
-			s.play(time.Second+s.within(2*time.Second), usual, choose)
-			s.disturb(what)
-			s.play(modelRecovery, 7*usual, choose)
-		}
-		if used := s.fullest(); used > 1 {
+		if used := s.fullestUnder(disturbances, usual, choose); used > 1 {
 			t.Fatalf("a window was used to %.3f of what it allows", used)
 		}
 	})
 }
 
+// fullestUnder plays disturbances, after each of which the team sends 7 times its usual,
+// and returns the highest part of what a window allows that was used.
+func (s *modelSite) fullestUnder(disturbances []string, usual float64, choose func() *modelProxy) float64 {
+	for _, what := range disturbances {
+		s.play(time.Second+s.within(2*time.Second), usual, choose)
+		s.disturb(what)
+		s.play(modelRecovery, 7*usual, choose)
+	}
+	return s.fullest()
+}
+
+// Guards against a small team that runs more than its limit while its counter is killed
+// and is back 2 s later: two counters begin with a start in one window. A search of
+// random cases found these; they used 1.004 to 1.088 of a window.
+func TestCounterThatIsKilledAndBackKeepsTheLimit(t *testing.T) {
+	const usual, rate = 3, 1.6 * 3
+	for _, test := range []struct {
+		seed         uint64
+		proxies      int
+		burst        float64
+		disturbances []string
+	}{
+		{0, 7, rate, []string{"control host lost", "limit lowered", "half killed"}},
+		{8850035183531944015, 7, rate, []string{"limit lowered", "half killed"}},
+		{4206003787177009909, 3, rate, []string{"limit lowered", "half killed"}},
+		{10845688349319044286, 2, 2 * rate, []string{"limit lowered", "half killed"}},
+		{13104818130231091109, 5, 0, []string{"limit lowered", "half killed"}},
+	} {
+		s := newModelSite(test.seed, 1, test.proxies, quota.Limit{RatePerSecond: rate, Burst: test.burst})
+		used := s.fullestUnder(test.disturbances, usual, func() *modelProxy { return s.proxies[s.random.IntN(len(s.proxies))] })
+		t.Logf("seed %d: %.3f", test.seed, used)
+		assert.Check(t, used <= 1, "seed %d: a window was used to %.3f of what it allows", test.seed, used)
+	}
+}
+
 // Guards against refusals below the limit, on a calm day and while proxies change
 // their control hosts. Assumes that the team's callers are spread like its proxies,
 // and that its burst is a second of its rate. While control hosts are lost, a proxy may
