--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -42,6 +42,10 @@
 	for _, u := range f.parts.Upstreams[1:] {
 		pl, _ := f.proxy.pool(u)
 		pl.recordPosition(at(95), Answer{Code: CodeLagging, Position: at(90)}, &positions{})
+		// Without this the first choice after a pause of 50 ms would try the replica.
+		pl.mu.Lock()
+		pl.lag.until = now().Add(time.Minute)
+		pl.mu.Unlock()
 	}
 	atReplicas := 0
 	for range 300 {
