--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -10,12 +10,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lovageslip/fault"
 	pb "lovageslip/gen/lovageslip/v1"
-	"lovageslip/internal/stall"
 	"lovageslip/proxy"
 	"lovageslip/site"
 	"lovageslip/tlsconf"
@@ -66,13 +66,38 @@
 // processor time would count as silent, and another one take its place.
 const busyMachine = 15 * time.Second
 
-// startStallMeter returns a meter that runs until the end of the test.
-func startStallMeter(t testing.TB) *stall.Meter {
-	m := stall.Start()
-	t.Cleanup(m.Stop)
+// stallMeter adds up for how long a goroutine that is due has to wait for a processor.
+type stallMeter struct{ total atomic.Int64 }
+
+// stallTick is how often a stallMeter measures. The chains of steps that tests bound
+// wait for a processor about as often.
+const stallTick = 5 * time.Millisecond
+
+func startStallMeter(t testing.TB) *stallMeter {
+	m := &stallMeter{}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			begun := time.Now()
+			select {
+			case <-stop:
+				return
+			case <-time.After(stallTick):
+				m.total.Add(int64(time.Since(begun) - stallTick))
+			}
+		}
+	}()
 	return m
 }
 
+// stopwatch returns a function that returns the time since now, less what the machine
+// took from this process meanwhile.
+func (m *stallMeter) stopwatch() (elapsed func() time.Duration) {
+	begun, stalled := time.Now(), m.total.Load()
+	return func() time.Duration { return time.Since(begun) - time.Duration(m.total.Load()-stalled) }
+}
+
 // newFakeSite returns a site whose timeouts are those of the product.
 func newFakeSite(t testing.TB, proxies, maxConnections int) *fakeSite {
 	return newFakeSiteWithTimeout(t, proxies, maxConnections, 0)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -286,7 +286,7 @@
 	stalls := startStallMeter(t)
 	relay.http.Listener.Close()
 	relay.http.CloseClientConnections()
-	elapsed, before := stalls.Stopwatch(), result.served.Load()
+	elapsed, before := stalls.stopwatch(), result.served.Load()
 	waitFor(t, "writes through another relay", func() bool { return result.served.Load() > before+100 })
 	without := elapsed()
 	assert.Check(t, without < time.Second, "no service for %v", without)
@@ -317,7 +317,7 @@
 		return chosen == nil || chosen.host.Name != relay.name
 	})
 	session := open(t, other, "latest")
-	elapsed := startStallMeter(t).Stopwatch()
+	elapsed := startStallMeter(t).stopwatch()
 	reply := session.Do(context.Background(), read("next"))
 	took := elapsed()
 	assert.Assert(t, reply.Refusal == nil, "%v", reply.Refusal)
@@ -467,7 +467,7 @@
 	older := s.parts
 	older.Upstreams = s.parts.Upstreams[1:]
 	relay.SetView(site.NewView(older))
-	elapsed := startStallMeter(t).Stopwatch()
+	elapsed := startStallMeter(t).stopwatch()
 	for _, p := range s.proxies {
 		if p == relay {
 			continue
--- a/relay/team_test.go
+++ b/relay/team_test.go
@@ -119,7 +119,7 @@
 			callers.Go(func() {
 				for n := range 10 {
 					session, _ := p.Open("latest", team.Name)
-					elapsed := stalls.Stopwatch()
+					elapsed := stalls.stopwatch()
 					id := fmt.Sprintf("%s.%s.%d", team.Name, p.name, n)
 					reply := session.Do(context.Background(), write(id, ""))
 					assert.Check(t, reply.Refusal == nil, "%s: %v", id, reply.Refusal)
