--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -126,7 +126,7 @@
 
 const (
 	// maxBacklogTime bounds the mean time after which a refused caller should try
-	// again, so that few lose their patience meanwhile.
+	// again, so that few give up meanwhile.
 	maxBacklogTime = 1500 * time.Millisecond
 	// drainFactor is how much longer a backlog lasts than its work, because new
 	// work takes half of the upstreams at the usual load.
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -61,10 +61,10 @@
 	frozen chan struct{}
 }
 
-// busyMachine replaces the timeouts between proxies and those of the routes in tests
+// longTimeout replaces the timeouts between proxies and those of the routes in tests
 // that are not about them. On a machine with other work, a peer that is only short of
 // processor time would count as silent, and another one take its place.
-const busyMachine = 15 * time.Second
+const longTimeout = 15 * time.Second
 
 // stallMeter adds up for how long a goroutine that is due has to wait for a processor.
 type stallMeter struct{ total atomic.Int64 }
@@ -103,9 +103,9 @@
 	return newFakeSiteWithTimeout(t, proxies, maxConnections, 0)
 }
 
-// newPatientSite returns a site in which peers may take as long as busyMachine.
-func newPatientSite(t testing.TB, proxies, maxConnections int) *fakeSite {
-	return newFakeSiteWithTimeout(t, proxies, maxConnections, busyMachine)
+// newLongTimeoutSite returns a site in which peers may take as long as longTimeout.
+func newLongTimeoutSite(t testing.TB, proxies, maxConnections int) *fakeSite {
+	return newFakeSiteWithTimeout(t, proxies, maxConnections, longTimeout)
 }
 
 // newFakeSiteWithTimeout returns a site with another timeout than the product's, unless
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -13,10 +13,10 @@
 	"lovageslip/site"
 )
 
-// newLimitedSite returns a patient site of four proxies whose only team may run 40
-// operations a second and 40 at once. counter counts them for asker.
+// newLimitedSite returns a site of four proxies, with long timeouts, whose only team may
+// run 40 operations a second and 40 at once. counter counts them for asker.
 func newLimitedSite(t *testing.T) (s *fakeSite, asker, counter *fakeProxy) {
-	s = newPatientSite(t, 4, 8)
+	s = newLongTimeoutSite(t, 4, 8)
 	rate, burst := 40.0, 40.0
 	s.parts.Config.Teams = []*pb.SiteTeam{{Name: "t", RatePerSecond: &rate, Burst: &burst}}
 	s.applyView()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -193,7 +193,7 @@
 // connections than an upstream accepts, where there are more proxies than
 // connections.
 func TestFewConnectionsForManyProxies(t *testing.T) {
-	s := newPatientSite(t, 40, 30)
+	s := newLongTimeoutSite(t, 40, 30)
 	var callers sync.WaitGroup
 	const each = 60
 	for _, p := range s.proxies {
@@ -215,7 +215,7 @@
 // Guards against session values, prepared statements or transactions of one caller
 // that reach another one over the connections that they share at a relay.
 func TestCallersDoNotMixAtARelay(t *testing.T) {
-	s := newPatientSite(t, 12, 6)
+	s := newLongTimeoutSite(t, 12, 6)
 	result, stop := s.startCallers()
 	waitFor(t, "writes", func() bool { return result.served.Load() > 1000 })
 	stop()
@@ -232,7 +232,7 @@
 // Guards against an answer that reaches another caller, because its connection is used
 // again before the relay has passed it on.
 func TestAnswersReachTheirCallers(t *testing.T) {
-	s := newPatientSite(t, 24, 6)
+	s := newLongTimeoutSite(t, 24, 6)
 	s.commandDelay = 0
 	result, stop := s.startCallers()
 	waitFor(t, "writes", func() bool { return result.served.Load() > 20_000 })
@@ -243,7 +243,7 @@
 // Guards against writes with an unknown or a wrong outcome, and against aborted
 // transactions, when a relay is stopped as planned while others use it.
 func TestRelayStopsAsPlannedUnderLoad(t *testing.T) {
-	s := newPatientSite(t, 12, 6)
+	s := newLongTimeoutSite(t, 12, 6)
 	relay := s.relayFor("p1")
 	result, stop := s.startCallers()
 	relay.server.Leave()
@@ -264,7 +264,7 @@
 // Guards against requests that a relay has received but not begun when it closes its
 // streams at once, without notice: they must be told apart from those that ran.
 func TestRelayClosesStreamsWithoutNotice(t *testing.T) {
-	s := newPatientSite(t, 12, 6)
+	s := newLongTimeoutSite(t, 12, 6)
 	relay := s.relayFor("p1")
 	result, stop := s.startCallers()
 	relay.server.Leave()
@@ -280,7 +280,7 @@
 // they ran, when a relay is lost in the middle of them, and against a data centre
 // that goes without service for longer than it takes to choose another relay.
 func TestRelayIsLostUnderLoad(t *testing.T) {
-	s := newPatientSite(t, 12, 6)
+	s := newLongTimeoutSite(t, 12, 6)
 	relay := s.relayFor("p1")
 	result, stop := s.startCallers()
 	stalls := startStallMeter(t)
@@ -379,7 +379,7 @@
 // Guards against a malformed message that ends the relay's process or the streams of
 // others.
 func TestMalformedRequestEndsOnlyItsStream(t *testing.T) {
-	s := newPatientSite(t, 4, 4)
+	s := newLongTimeoutSite(t, 4, 4)
 	relay := s.relayFor("p1")
 	user := s.proxies[0]
 	if user == relay {
--- a/relay/team_test.go
+++ b/relay/team_test.go
@@ -17,7 +17,7 @@
 
 // newTeamSite returns a site with teams, each of which has its name as its key.
 func newTeamSite(t *testing.T, proxies, maxConnections, teams int) *fakeSite {
-	s := newPatientSite(t, proxies, maxConnections)
+	s := newLongTimeoutSite(t, proxies, maxConnections)
 	for i := range teams {
 		name := fmt.Sprintf("team-%d", i)
 		digest := sha256.Sum256([]byte(name))
