Revert "Control hosts with an older configuration grant no operations"

With each change of configuration that a control host learns late, its proxies ask the next one, which adds a substitute's grants to the window: more often than limits are lowered while one is cut off.

What stays open: a control host that is cut off from the others, but not from proxies, grants a limit of its old configuration. To grant the lower of its own limit and that of the proxy's newer configuration would need no other host.

--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -19,9 +19,6 @@
 	// siteCounterAvoidance is how long a control host that did not answer is not
 	// asked again. An election or a restart takes about as long.
 	siteCounterAvoidance = 2 * time.Second
-	// oldConfigAvoidance is how long a control host with an older configuration than this
-	// proxy's is not asked again. One that is not cut off has the new one within 100 ms.
-	oldConfigAvoidance = 250 * time.Millisecond
 	// cutOffPart is the part of a data centre's share that its counter admits
 	// while it reaches no control host, which go on granting the whole limit to
 	// the others. It is what remains of the tolerance.
@@ -152,16 +149,12 @@
 // recordFailure makes a control host not be asked for a while, unless it only lacks
 // the team so far.
 func (c *siteCounters) recordFailure(address string, err error) {
-	avoidance := siteCounterAvoidance
-	switch connect.CodeOf(err) {
-	case connect.CodeNotFound:
+	if connect.CodeOf(err) == connect.CodeNotFound {
 		return
-	case connect.CodeFailedPrecondition:
-		avoidance = oldConfigAvoidance
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoidUntil[address] = bootclock.Now().Add(avoidance)
+	c.avoidUntil[address] = bootclock.Now().Add(siteCounterAvoidance)
 }
 
 func (c *siteCounters) reserveOf(team string) *teamReserve {
--- a/sitecontrol/limits.go
+++ b/sitecontrol/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,9 +32,6 @@
 // Admit implements SiteService. The host grants out of the limit of its own state. It
 // needs no leader: proxies choose one host for each team.
 func (s *Server) Admit(_ context.Context, r *connect.Request[pb.AdmitRequest]) (*connect.Response[pb.AdmitResponse], error) {
-	if err := s.checkAsked(r.Msg.ConfigVersion); err != nil {
-		return nil, err
-	}
 	team := s.team(r.Msg.Team)
 	if team == nil {
 		return nil, connect.NewError(connect.CodeNotFound, &UnknownTeam{Team: r.Msg.Team})
@@ -115,32 +111,15 @@
 
 func (e *UnknownTeam) Error() string { return "control: no team " + e.Team }
 
-// checkAsked refuses a proxy whose configuration is newer than the one of this host's
-// state. A host that is cut off from the others would grant out of a limit that was
-// lowered since, to proxies that know the new one.
-func (s *Server) checkAsked(configVersion uint64) error {
-	state, _, _ := s.options.State.Current()
-	if held := state.Config.GetVersion(); held < configVersion {
-		return connect.NewError(connect.CodeFailedPrecondition, &OldConfig{Held: held, Asked: configVersion})
-	}
-	return nil
-}
-
-// OldConfig reports a control host whose configuration is older than that of a proxy.
-type OldConfig struct{ Held, Asked uint64 }
-
-func (e *OldConfig) Error() string {
-	return "control: configuration " + strconv.FormatUint(e.Held, 10) + " is older than " + strconv.FormatUint(e.Asked, 10) + " of the proxy"
-}
-
 // admitTimeout bounds a proxy's request for operations of a team, for which callers
 // wait. It covers three round trips between regions.
 const admitTimeout = 120 * time.Millisecond
 
 // Admit asks the control host at an address to grant operations of a team.
-func (c *Clients) Admit(address string, request *pb.AdmitRequest) (granted int, retryAfter time.Duration, err error) {
+func (c *Clients) Admit(address, team string, operations int, substitute bool) (granted int, retryAfter time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
 	defer cancel()
+	request := &pb.AdmitRequest{Team: team, Operations: uint32(operations), Substitute: substitute}
 	response, err := c.ForAddress(address).Admit(ctx, connect.NewRequest(request))
 	if err != nil {
 		return 0, 0, err
