Tests in virtual time keep their clock until their goroutines have ended

Cause: go test -race ./proxy reported four races on the variable 'now'. withVirtualClock and runModel set the real clock back inside the bubble, while goroutines of the test still read it.

Change: it is set back after the bubble, which waits for them; runModel uses withVirtualClock.

Measured: two races before the change of the clock are left of four, both reads by goroutines of earlier tests in real time that end after their test, before the clock is set. Nothing of the product is concerned. TestHeavyPatterns was left out; the package passes without -race.

--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -9,12 +9,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// withVirtualClock runs a test with the clock of its bubble.
+// withVirtualClock runs a test with the clock of its bubble, until all goroutines of the
+// test have ended.
 func withVirtualClock(t *testing.T, test func(t *testing.T)) {
+	realNow := now
+	defer func() { now = realNow }()
 	synctest.Test(t, func(t *testing.T) {
-		realNow := now
 		now = time.Now
-		defer func() { now = realNow }()
 		test(t)
 	})
 }
--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -207,10 +206,7 @@
 func runModel(t *testing.T, p policy, length time.Duration, arrange func(*model)) *modelResult {
 	t.Helper()
 	var result *modelResult
-	synctest.Test(t, func(t *testing.T) {
-		realNow := now
-		now = time.Now
-		defer func() { now = realNow }()
+	withVirtualClock(t, func(t *testing.T) {
 		m := newModel(p)
 		arrange(m)
 		m.configure(p)
