A data centre without control hosts admits less after 3 s

The arithmetic shows a second way: a counter that reaches no control host admitted 0.6 of its share for as long as a key may be used without a confirmation, and again until it asked anew after a cut, each time with a full burst.

Change: 0.2 of the share once no control host has answered for 3 s.

Open: a team that becomes hot in the first 3 s of a cut may still pass its limit, see docs/design/limits.md.

--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -19,8 +19,14 @@
 	siteCounterAvoidance = 2 * time.Second
 	// cutOffPart is the part of a data centre's share that its counter admits
 	// while it reaches no control host, which go on granting the whole limit to
-	// the others. It is what remains of the tolerance.
+	// the others.
 	cutOffPart = 0.6
+	// lateCutOffPart is that part after cutOffPatience. With cutOffPart for as long as a
+	// key may be used without a confirmation, a team that sends many times its
+	// limit on both sides of a cut passes it by more than the tolerance. By then
+	// most callers have turned to proxies that are not cut off.
+	lateCutOffPart = 0.2
+	cutOffPatience = 3 * time.Second
 )
 
 // AskSite asks the control host at an address to grant operations of a team.
@@ -36,6 +42,9 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // by address
 	reserves   map[string]*teamReserve
+	// cutOffSince is when the first request after the last answer had none; zero
+	// while control hosts answer.
+	cutOffSince time.Time
 }
 
 // teamReserve is the reserve of one team.
@@ -124,12 +133,37 @@
 			c.recordFailure(address, err)
 			continue
 		}
+		c.recordAnswers(true)
 		v, _ = r.grant(askedAt, want, granted, retryAfter, n)
 		return v, true
 	}
+	c.recordAnswers(false)
 	return verdict{}, false
 }
 
+// recordAnswers records whether any control host has answered.
+func (c *siteCounters) recordAnswers(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case answered:
+		c.cutOffSince = time.Time{}
+	case c.cutOffSince.IsZero():
+		c.cutOffSince = bootclock.Now()
+	}
+}
+
+// partWithoutControl returns the part of the data centre's share that is admitted while no
+// control host answers.
+func (c *siteCounters) partWithoutControl() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.cutOffSince.IsZero() && bootclock.Since(c.cutOffSince) >= cutOffPatience {
+		return lateCutOffPart
+	}
+	return cutOffPart
+}
+
 func (c *siteCounters) usable(address string, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -171,6 +205,6 @@
 		return v.admitted, v.retryAfter
 	}
 	l.metrics.Counter("decided_without_control_total").Inc(1)
-	rest, retryAfter := l.count(team, operations-v.admitted, cutOffPart)
+	rest, retryAfter := l.count(team, operations-v.admitted, l.site.partWithoutControl())
 	return v.admitted + rest, retryAfter
 }
--- a/relay/sitecounter_test.go
+++ b/relay/sitecounter_test.go
@@ -117,6 +117,32 @@
 	assert.Equal(t, admitted, 5)
 }
 
+// Guards against a counter that admits a part of the limit beside the control hosts for so
+// long that a team which sends many times its limit passes it: for 5 s in a cut, and again
+// until it asks them anew after the cut has healed.
+func TestCounterWithoutControlHostsAdmitsLessAfterAWhile(t *testing.T) {
+	f := &fakeCounters{down: map[string]bool{}}
+	client := NewClient(Options{Name: "proxy"})
+	view := site.NewView(site.ViewParts{ControlHosts: controlAddresses, Proxies: 1})
+	l := NewLimits(LimitsOptions{Client: client, View: func() *site.View { return view }, AskSite: f.ask})
+	for _, address := range controlAddresses {
+		f.down[address] = true
+	}
+	admit := func(team string) int {
+		admitted, _ := l.countForDataCentre(&site.Team{Name: team, Limited: true, RatePerSecond: 100, Burst: 100}, 1000)
+		return admitted
+	}
+	early := admit("first")
+	l.site.cutOffSince = bootclock.Now().Add(-cutOffPatience)
+	late := admit("second")
+	assert.Assert(t, early > 0 && late > 0 && 2*late <= early, "%d, then %d", early, late)
+
+	clear(f.down)
+	clear(l.site.avoidUntil)
+	admit("third")
+	assert.Assert(t, l.site.cutOffSince.IsZero(), "a control host has answered")
+}
+
 // Guards against callers that wait for one request to a control host each, one after the
 // other.
 func TestWaitingOperationsShareARequestToAControlHost(t *testing.T) {
