--- a/sitecontrol/counter.go
+++ b/sitecontrol/counter.go
@@ -23,8 +23,8 @@
 	// grant whole limits. It is longer than most elections.
 	countingConfirmation = 1500 * time.Millisecond
 	// firstLostAfter is how long the leader must have had no contact with a host until it
-	// takes its place: the other host's last confirmation is too old by
-	// then. The difference covers the way of the answer and clocks that drift.
+	// takes its place: the host's last confirmation is too old by then. The difference
+	// covers the way of the answer and clocks that drift.
 	firstLostAfter = countingConfirmation + 250*time.Millisecond
 	// successorPart is the part of a limit that the leader grants in the place of a host that
 	// can't count. The rest is for the burst that this host has when it is back.
@@ -81,7 +81,7 @@
 }
 
 // substituteRole returns the role of a host that the first one doesn't answer. silentFor is
-// since when the leader has had no contact with the first one.
+// for how long the leader has had no contact with the first one.
 func substituteRole(leads bool, silentFor time.Duration) role {
 	if leads && silentFor >= firstLostAfter {
 		return roleSuccessor
