--- a/relay/sitecounter.go
+++ b/relay/sitecounter.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +19,14 @@
 	siteCounterAvoidance = 2 * time.Second
 	// cutOffPart is the part of a data centre's share that its counter admits
 	// while it reaches no control host, which go on granting the whole limit to
-	// the others. It is what remains of the tolerance.
+	// the others.
 	cutOffPart = 0.6
+	// lateCutOffPart is that part after cutOffPatience. With cutOffPart for as long as a
+	// key may be used without a confirmation, a team that sends many times its
+	// limit on both sides of a cut passes it by more than the tolerance. By then
+	// most callers have turned to proxies that are not cut off.
+	lateCutOffPart = 0.2
+	cutOffPatience = 3 * time.Second
 )
 
 // AskSite asks the control host at an address to grant operations of a team.
@@ -38,6 +42,9 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // by address
 	reserves   map[string]*teamReserve
+	// cutOffSince is when the first request after the last answer had none; zero
+	// while control hosts answer.
+	cutOffSince time.Time
 }
 
 // teamReserve is the reserve of one team.
@@ -115,7 +122,7 @@
 	r.mu.Lock()
 	want := r.reserve.Want(bootclock.Now(), r.missing)
 	r.mu.Unlock()
-	ranked := c.rank(addresses, team)
+	ranked := quota.RankCounters(addresses, team)
 	for i, address := range ranked {
 		askedAt := bootclock.Now()
 		if i >= maxSiteCounters || !c.usable(address, askedAt) {
@@ -126,18 +133,35 @@
 			c.recordFailure(address, err)
 			continue
 		}
+		c.recordAnswers(true)
 		v, _ = r.grant(askedAt, want, granted, retryAfter, n)
 		return v, true
 	}
+	c.recordAnswers(false)
 	return verdict{}, false
 }
 
-// rank returns the addresses in the order in which they count for a team.
-func (c *siteCounters) rank(addresses []string, team string) []string {
-	key := counterKey(team)
-	ranked := slices.Clone(addresses)
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(score(b, key), score(a, key)) })
-	return ranked
+// recordAnswers records whether any control host has answered.
+func (c *siteCounters) recordAnswers(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case answered:
+		c.cutOffSince = time.Time{}
+	case c.cutOffSince.IsZero():
+		c.cutOffSince = bootclock.Now()
+	}
+}
+
+// partWithoutControl returns the part of the data centre's share that is admitted while no
+// control host answers.
+func (c *siteCounters) partWithoutControl() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.cutOffSince.IsZero() && bootclock.Since(c.cutOffSince) >= cutOffPatience {
+		return lateCutOffPart
+	}
+	return cutOffPart
 }
 
 func (c *siteCounters) usable(address string, at time.Time) bool {
@@ -181,6 +205,6 @@
 		return v.admitted, v.retryAfter
 	}
 	l.metrics.Counter("decided_without_control_total").Inc(1)
-	rest, retryAfter := l.count(team, operations-v.admitted, cutOffPart)
+	rest, retryAfter := l.count(team, operations-v.admitted, l.site.partWithoutControl())
 	return v.admitted + rest, retryAfter
 }
