Send proxies what has changed in the topology, not all of it

Cause: each change of an upstream or group sent the whole list to each proxy, at most ten times a second. While the upstreams of a large site start, that grows with upstreams x proxies for each change. docs/CAPACITY.md named it as the next thing to break.

Change: an update holds the records that are new or have changed and the ids of those that are gone, since the previous update of the stream. The first update of a stream is whole. Proxies ask for differences; those of an earlier version get whole lists, and so does a proxy of this version from a control host of an earlier one. A state without a common history is sent whole.

--- a/sitecontrol/watch.go
+++ b/sitecontrol/watch.go
@@ -9,6 +9,7 @@
 
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/internal/pause"
+	"lovageslip/site"
 )
 
 const (
@@ -34,6 +35,8 @@
 	config  *pb.SiteConfig
 	state   *pb.SiteState
 	members []string
+	// differences is set if the proxy accepts differences of the topology.
+	differences bool
 	// dataCentre is that of the proxy. relays is what was last sent of its
 	// relays, at relaysSentAt.
 	dataCentre   string
@@ -45,7 +48,7 @@
 // stream ends when this host knows no leader, so that the proxy turns to another
 // control host. A host that stands by sends only the addresses of the members.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchSiteRequest], stream *connect.ServerStream[pb.SiteUpdate]) error {
-	w := &watcher{dataCentre: r.Msg.DataCentre}
+	w := &watcher{dataCentre: r.Msg.DataCentre, differences: r.Msg.Differences}
 	if members := s.standbyMembers(); members != nil {
 		if err := stream.Send(&pb.SiteUpdate{ControlHosts: members}); err != nil {
 			return err
@@ -133,13 +136,29 @@
 	}
 	if w.state == nil || w.topologyChanged(state) || !slices.Equal(w.members, members) {
 		u.Topology = true
-		u.Upstreams, u.Groups = state.Upstreams, state.Groups
 		u.ControlHosts, u.Proxies = members, state.Proxies
+		w.addTopology(u, state)
 	}
 	w.state, w.members = state, members
 	return u
 }
 
+// addTopology adds the upstreams and groups to an update: those that differ from the
+// previous one, if there was one and the proxy accepts differences, or else all. With
+// whole lists, the updates of a site grow with its upstreams times its proxies for each
+// change, and thousands of upstreams that start at the same moment keep the control
+// hosts from answering them.
+func (w *watcher) addTopology(u *pb.SiteUpdate, state *pb.SiteState) {
+	if w.differences && w.state != nil {
+		if d, ok := site.CompareTopology(w.state, state); ok {
+			u.Difference = true
+			u.Upstreams, u.RemovedUpstreams, u.Groups = d.Upstreams, d.Removed, d.Groups
+			return
+		}
+	}
+	u.Upstreams, u.Groups = state.Upstreams, state.Groups
+}
+
 func (w *watcher) topologyChanged(state *pb.SiteState) bool {
 	return w.state.Proxies != state.Proxies ||
 		!slices.Equal(w.state.Upstreams, state.Upstreams) ||
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -220,7 +220,7 @@
 	defer silence.Stop()
 	client := w.clients.ForAddress(address)
 	calledAt := bootclock.Now()
-	message := &pb.WatchSiteRequest{Proxy: w.options.Name, DataCentre: w.options.DataCentre}
+	message := &pb.WatchSiteRequest{Proxy: w.options.Name, DataCentre: w.options.DataCentre, Differences: true}
 	if _, leaving := w.reportTarget(); !leaving {
 		message.Relay = w.options.Relay
 	}
@@ -293,8 +293,9 @@
 		w.parts.Config = u.Config
 	}
 	if u.Topology {
-		w.parts.LeavingNotBefore = leavingNotBefore(w.parts, u.Upstreams, w.currentAt)
-		w.parts.Upstreams, w.parts.Groups = u.Upstreams, u.Groups
+		upstreams, groups := site.ApplyTopology(w.parts.Upstreams, w.parts.Groups, u)
+		w.parts.LeavingNotBefore = leavingNotBefore(w.parts, upstreams, w.currentAt)
+		w.parts.Upstreams, w.parts.Groups = upstreams, groups
 		w.parts.ControlHosts, w.parts.Proxies = u.ControlHosts, int(u.Proxies)
 	}
 	if u.RelaysChanged {
