The leader's time no longer grows with the square of the groups

For each group and step, ten times a second, the leader added up all reports, which name for each proxy the primaries that it has sent nothing to, and searched all upstreams of the site. At 300 hosts that is 3,200 sums a second of some 20,000 entries each.

Upstreams are looked up by group in an index of the state.

--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -11,7 +11,6 @@
 
 	pb "lovageslip/gen/lovageslip/v1"
 	"lovageslip/internal/pause"
-	"lovageslip/site"
 	"lovageslip/upstream"
 )
 
@@ -86,11 +85,10 @@
 // upstreams returns the group's recorded primary, nil if it has none, its other
 // upstreams and its record.
 func (w *groupWatch) upstreams() (primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState) {
-	state, _, _ := w.server.options.State.Current()
-	g = site.Group(state, w.group)
-	for _, u := range state.Upstreams {
+	topology := w.server.topology()
+	g = topology.groups[w.group]
+	for _, u := range topology.upstreams[w.group] {
 		switch {
-		case u.Group != w.group:
 		case u.Id == g.GetPrimary():
 			primary = u
 		default:
--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -48,6 +48,8 @@
 }
 
 func (s *Server) storeReport(r *pb.ReportRequest) {
+	// countFor needs the order, which proxies do not owe.
+	slices.SortFunc(r.Complaints, func(a, b *pb.Complaint) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setRelayLocked(r.Reporter, s.reports[r.Reporter].message, r)
@@ -109,15 +111,20 @@
 	return s.relays[dataCentre]
 }
 
-// gatherReports adds up the reports that have not expired: those of proxies and,
+// reportCounts adds up reports: how many proxies have reported, and by id of an upstream
+// how many of them cannot reach it or have had no request for it.
+type reportCounts struct {
+	proxies              uint32
+	unreachable, untried map[string]uint32
+}
+
+// countReportsLocked adds up the reports that have not expired: those of proxies and,
 // if relayed is set, the sums that other control hosts have relayed to a leader.
-func (s *Server) gatherReports(relayed bool) *pb.ReportRequest {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	sum := &pb.ReportRequest{Reporter: s.options.Name, Relayed: true}
-	complaints, untried := make(map[string]uint32), make(map[string]uint32)
+func (s *Server) countReportsLocked(relayed bool) *reportCounts {
+	counts := &reportCounts{unreachable: make(map[string]uint32), untried: make(map[string]uint32)}
+	countedAt := now()
 	for name, r := range s.reports {
-		age := now().Sub(r.receivedAt)
+		age := countedAt.Sub(r.receivedAt)
 		if age > reportLifetime {
 			s.setRelayLocked(name, r.message, nil)
 			delete(s.reports, name)
@@ -126,18 +133,31 @@
 		if r.message.Relayed && !relayed {
 			continue
 		}
-		sum.Proxies += r.message.Proxies
+		counts.proxies += r.message.Proxies
 		for _, c := range r.message.Complaints {
 			if age <= unreachableLifetime {
-				complaints[c.Upstream] += c.Proxies
+				counts.unreachable[c.Upstream] += c.Proxies
 			}
 		}
 		for _, c := range r.message.Untried {
-			untried[c.Upstream] += c.Proxies
+			counts.untried[c.Upstream] += c.Proxies
 		}
 	}
-	sum.Complaints, sum.Untried = sortedComplaints(complaints), sortedComplaints(untried)
-	return sum
+	return counts
+}
+
+// gatherReports returns the sum of countReportsLocked as a report of this host.
+func (s *Server) gatherReports(relayed bool) *pb.ReportRequest {
+	s.mu.Lock()
+	counts := s.countReportsLocked(relayed)
+	s.mu.Unlock()
+	return &pb.ReportRequest{
+		Reporter:   s.options.Name,
+		Relayed:    true,
+		Proxies:    counts.proxies,
+		Complaints: sortedComplaints(counts.unreachable),
+		Untried:    sortedComplaints(counts.untried),
+	}
 }
 
 // sortedComplaints returns the number of proxies for each upstream, sorted by
@@ -151,24 +171,40 @@
 	return list
 }
 
-func countFor(list []*pb.Complaint, id string) uint32 {
-	for _, c := range list {
-		if c.Upstream == id {
-			return c.Proxies
-		}
-	}
-	return 0
-}
+// countsLifetime is how long the leader's watches over groups use the same sum of all
+// reports: half of their interval. A sum for each group and step would take time that
+// grows with the square of the groups, times the proxies.
+const countsLifetime = groupInterval / 2
 
 // countUnreachable returns how many proxies cannot reach an upstream, and how
 // many may be served by it. The latter include proxies that are recorded but do
 // not report any more, because they may be cut off together with the upstream.
-// They leave out proxies that have had no request for the upstream.
+// They leave out proxies that have had no request for the upstream, as counted within
+// countsLifetime.
 func (s *Server) countUnreachable(id string) (unreachable, proxies uint32) {
 	state, _, _ := s.options.State.Current()
-	sum := s.gatherReports(true)
-	proxies = max(sum.Proxies, state.Proxies)
-	return countFor(sum.Complaints, id), proxies - min(countFor(sum.Untried, id), proxies)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	countedAt := now()
+	if s.counts == nil || countedAt.Sub(s.countedAt) >= countsLifetime {
+		s.counts, s.countedAt = s.countReportsLocked(true), countedAt
+	}
+	for _, r := range s.reports {
+		if countedAt.Sub(r.receivedAt) <= unreachableLifetime {
+			unreachable += countFor(r.message.Complaints, id)
+		}
+	}
+	proxies = max(s.counts.proxies, state.Proxies)
+	return unreachable, proxies - min(s.counts.untried[id], proxies)
+}
+
+// countFor returns the number for an upstream in a sorted list, 0 if it is not in it.
+func countFor(list []*pb.Complaint, id string) uint32 {
+	i, ok := slices.BinarySearchFunc(list, id, func(c *pb.Complaint, id string) int { return cmp.Compare(c.GetUpstream(), id) })
+	if !ok {
+		return 0
+	}
+	return list[i].Proxies
 }
 
 // runRelay sends the sum of the proxies' reports to the leader, while another
--- a/sitecontrol/report_test.go
+++ b/sitecontrol/report_test.go
@@ -1,6 +1,7 @@
 package sitecontrol
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -47,3 +48,34 @@
 	assert.Equal(t, unreachable, uint32(1))
 	assert.Equal(t, proxies, uint32(1))
 }
+
+// Guards against a sum of all reports for each group and step: the time of the leader
+// grew with the square of the groups, times the proxies.
+func TestGroupsShareTheSumOfReports(t *testing.T) {
+	const proxies, groups = 60, 323
+	s := New(Options{Name: "c1", State: site.NewState()})
+	var untried []*pb.Complaint
+	for g := range groups {
+		untried = append(untried, &pb.Complaint{Upstream: fmt.Sprintf("u%d", g), Proxies: 1})
+	}
+	for p := range proxies {
+		s.storeReport(&pb.ReportRequest{Reporter: fmt.Sprintf("p%d", p), Proxies: 1, Untried: untried})
+	}
+	s.countUnreachable("u0")
+	first := s.counts
+	for g := range groups {
+		_, served := s.countUnreachable(fmt.Sprintf("u%d", g))
+		assert.Equal(t, served, uint32(0), "proxies that have had no request for the upstream count")
+	}
+	if now().Sub(s.countedAt) < countsLifetime {
+		assert.Assert(t, s.counts == first, "the reports were added up again")
+	}
+	// A proxy that cannot reach an upstream counts at once, in any order of its list.
+	s.storeReport(&pb.ReportRequest{Reporter: "p0", Proxies: 1, Complaints: []*pb.Complaint{{Upstream: "u2", Proxies: 1}, {Upstream: "u1", Proxies: 1}}})
+	unreachable, _ := s.countUnreachable("u2")
+	assert.Equal(t, unreachable, uint32(1))
+	s.countedAt = s.countedAt.Add(-countsLifetime)
+	unreachable, served := s.countUnreachable("u1")
+	assert.Equal(t, unreachable, uint32(1))
+	assert.Equal(t, served, uint32(1))
+}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -118,6 +118,9 @@
 	mu sync.Mutex
 	// reports holds the newest report of each reporter.
 	reports map[string]report
+	// counts is the sum of all reports at countedAt; nil if there is none yet.
+	counts    *reportCounts
+	countedAt time.Time
 	// watches holds the number of the latest watch of each proxy that watches
 	// this host; lastWatch is the highest one.
 	watches   map[string]uint64
@@ -146,6 +149,7 @@
 
 	// confirming allows one quorum read for confirmations at a time.
 	confirming singleflight.Group
+	topologies topologyCache
 }
 
 type report struct {
