Search for control hosts: refused connections are tried again at once

Cause: after a loss of power of all hosts, proxies start before the control hosts.

Change: a host that refuses connections has no process yet and is tried again after 50 ms, for 3 s. A nearer host that refuses has 150 ms more than a farther one that accepts, so that proxies of a data centre watch the same host as before.

Ruled out: start-up of the programs, 12 ms until the first log line on .27 of a core; the first answer of a control host, 5 to 25 ms after the lead.

--- a/sitewatch/nearest.go
+++ b/sitewatch/nearest.go
@@ -4,17 +4,14 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"lovageslip/bootclock"
 )
 
-// This file finds the control host that a proxy watches next: the preferred one of
-// its data centre (prefer.go), or the first that accepts a connection.
+// This file lists the control hosts that a proxy may watch next, and tries those that
+// have failed lately last. search.go finds one of them that accepts a connection.
 
 // maxSeeds bounds the seeds among the candidates, because on a large site most of
 // the many seeds only stand by.
@@ -35,17 +32,18 @@
 // nearest returns the preferred control host, or else the one that accepts a connection
 // first, of those whose watch has not failed lately. If none of them does, it tries those
 // that have failed, one after the other, the one that failed longest ago first. It is
-// empty if no control host accepts a connection.
-func (w *Watch) nearest(ctx context.Context) string {
+// empty if no control host accepts a connection. With retry, hosts that refuse connections
+// are tried more than once.
+func (w *Watch) nearest(ctx context.Context, retry bool) string {
 	w.mu.Lock()
 	failedAt := maps.Clone(w.failedAt)
 	w.mu.Unlock()
 	candidates, failed := splitByFailure(w.candidates(), failedAt, bootclock.Now())
-	if address, ok := firstReachable(ctx, candidates, w.preferredOf(candidates)); ok {
+	if address, ok := firstReachable(ctx, candidates, w.preferredOf(candidates), retry); ok {
 		return address
 	}
 	for _, address := range failed {
-		if found, ok := firstReachable(ctx, []string{address}, ""); ok {
+		if found, ok := firstReachable(ctx, []string{address}, "", false); ok {
 			return found
 		}
 	}
@@ -70,47 +68,3 @@
 	slices.SortFunc(failed, func(a, b string) int { return failedAt[a].Compare(failedAt[b]) })
 	return candidates, failed
 }
-
-// firstReachable returns the address that accepts a connection first, within
-// probeTimeout. The preferred one, if any, may be later by preferredHeadStart.
-func firstReachable(ctx context.Context, addresses []string, preferred string) (string, bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	defer cancel()
-	answers := make(chan string, len(addresses))
-	for _, address := range addresses {
-		tasks.Go(func() { answers <- probe(ctx, address) })
-	}
-	first := ""
-	var late <-chan time.Time
-	for range addresses {
-		select {
-		case address := <-answers:
-			switch {
-			case address == "":
-			case preferred == "" || address == preferred:
-				return address, true
-			case first == "":
-				first, late = address, time.After(preferredHeadStart)
-			}
-		case <-late:
-			return first, true
-		}
-	}
-	return first, first != ""
-}
-
-// probe returns the address if it accepts a connection, and an empty string
-// otherwise.
-func probe(ctx context.Context, address string) string {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return ""
-	}
-	// Nothing was sent on the connection, so an error of Close loses nothing.
-	_ = c.Close()
-	return address
-}
--- a/sitewatch/prefer.go
+++ b/sitewatch/prefer.go
@@ -121,9 +121,8 @@
 	defer tasks.Wait()
 	for _, address := range due {
 		tasks.Go(func() {
-			begunAt := bootclock.Now()
-			if probe(ctx, address) != "" {
-				w.recordConnectTime(address, bootclock.Since(begunAt))
+			if r := probe(ctx, address); r.accepted {
+				w.recordConnectTime(address, r.took)
 			}
 		})
 	}
@@ -147,7 +146,7 @@
 	if target == "" {
 		return
 	}
-	if _, ok := firstReachable(ctx, []string{target}, ""); !ok {
+	if _, ok := firstReachable(ctx, []string{target}, "", false); !ok {
 		return
 	}
 	w.mu.Lock()
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -47,9 +47,10 @@
 	retryDelay    = 100 * time.Millisecond
 	maxRetryDelay = 1500 * time.Millisecond
 	stableWatch   = 5 * time.Second
-	// unreachablePause is the mean pause after an attempt in which no control host
-	// accepted a connection. It doesn't grow, because such attempts take no time of
-	// control hosts, and a proxy without a view serves nothing once a host is back.
+	// unreachablePause is the mean pause after a search in which no control host
+	// accepted a connection, once the search has lasted for startPeriod. It doesn't
+	// grow, because such attempts take no time of control hosts, and a proxy without a
+	// view serves nothing once a host is back.
 	unreachablePause    = 300 * time.Millisecond
 	reportCheckInterval = 50 * time.Millisecond
 	reportTimeout       = 500 * time.Millisecond
@@ -145,15 +146,13 @@
 	defer tasks.Wait()
 	tasks.Go(func() { w.runReports(ctx, p) })
 	tasks.Go(func() { w.runPreference(ctx) })
-	address := ""
+	address, searchingSince := "", bootclock.Now()
 	for failures := 0; ctx.Err() == nil; failures++ {
 		if address == "" {
-			address = w.nearest(ctx)
+			address = w.search(ctx, searchingSince)
 		}
 		if address == "" {
-			// The loop counts failed watches only.
-			failures--
-			pause.For(ctx, jitter(unreachablePause))
+			failures-- // counts failed watches only
 			continue
 		}
 		begunAt := bootclock.Now()
@@ -170,7 +169,7 @@
 		w.recordFailure(address)
 		address = ""
 		if bootclock.Since(begunAt) >= stableWatch {
-			failures = 0
+			failures, searchingSince = 0, bootclock.Now()
 		}
 		if failures > 0 {
 			pause.For(ctx, retryPause(failures))
@@ -178,6 +177,23 @@
 	}
 }
 
+// search returns the control host to watch next. If none accepts a connection, it
+// returns an empty string, after a pause.
+func (w *Watch) search(ctx context.Context, since time.Time) string {
+	starting := bootclock.Since(since) < startPeriod
+	address := w.nearest(ctx, starting)
+	switch {
+	case address != "":
+		w.log.Info("control host accepts connections", "address", address, "searched", bootclock.Since(since))
+		w.metrics.Timer("search").Record(bootclock.Since(since))
+	case starting:
+		pause.For(ctx, jitter(refusedPause))
+	default:
+		pause.For(ctx, jitter(unreachablePause))
+	}
+	return address
+}
+
 func (w *Watch) recordFailure(address string) {
 	w.metrics.Counter("control_hosts_lost_total").Inc(1)
 	w.mu.Lock()
