First operations count the time for which their caller waited for the session

Cause: after a loss of power of all hosts, all callers connect again and wait for the first view of their proxy. Their statements then arrive together and counted from there, so that callers who had waited for longer than their target were served before others who could still be in time.

Change: what a caller sends within 100 ms of its session's opening, or behind statements that set the session up, has begun with its connection. The queue at the proxy and at relays orders by that.

--- a/proxy/session.go
+++ b/proxy/session.go
@@ -38,6 +38,7 @@
 	// operationStart is when the caller's operation, a transaction or a
 	// single statement, began.
 	operationStart time.Time
+	openWait       openWait
 }
 
 type preparedStatement struct {
@@ -65,6 +66,13 @@
 	return s, nil
 }
 
+// WaitedSince says that the caller has waited for the session since a time on the boot
+// clock. What it sends at once has begun then.
+func (s *Session) WaitedSince(at time.Time) {
+	s.openWait = openWait{since: at, answeredAt: now()}
+	s.proxy.metrics.Timer("session_wait_seconds").Record(since(at))
+}
+
 // State returns the state of the session's transaction.
 func (s *Session) State() TransactionState { return s.state }
 
@@ -72,7 +80,7 @@
 // final reply.
 func (s *Session) Do(ctx context.Context, st *Statement) Reply {
 	if s.tx == nil {
-		s.operationStart = now()
+		s.operationStart = s.openWait.operationStart(now(), st.Kind)
 	}
 	reply := s.do(ctx, st)
 	reply.State = s.state
