Limits at shared upstreams compare answers with the usual time of such work

The concurrency limit took every answer 40 ms above the network's round trip for a queue. So 150 ms statements without a queue lowered it to one and left slots idle (one host before three slots), while nine queued statements of 7 ms at a primary were no reason to lower it: in burst-10 a statement waited 40 ms in the upstream's queue, with each statement of a transaction, and 38 % of the most urgent transactions were late. Limits began at 4 for each of six proxies before three slots and grew by one a round for each of them. Late work yielded only when urgent work waited at the same proxy.

Change: proxy/queuedelay.go keeps the mean time of each kind of work (database and kind of statement), learned while nothing waits at the proxy, and estimates from each answer how long statements wait in the upstream's queue; short work weighs more, as it varies less. The limit falls if that is more than half of the time that statements take, or a twentieth of the group's shortest target. It grows only while answers come as soon as usual, by the proxy's share of the slots at most, begins at that share (the view's slots and number of proxies) and never falls below it. Answers that show a queue also make late and patient work yield: they tell what other proxies send. Nothing is sent or asked for. Upstreams behind relays, where the share isn't known, are limited as before.

TestPatterns passes. The tests of queuedelay_test.go that compare with the former rule fail with it (mean limits 1.0 and 26.5 instead of at least 3 and at most 1.5).

--- a/proxy/concurrency.go
+++ b/proxy/concurrency.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// initialConcurrency is the limit for an upstream whose capacity the
-	// proxy has not learned yet.
+	// initialConcurrency is the limit for an upstream of which the proxy knows
+	// neither its part of the slots nor the capacity.
 	initialConcurrency = 4
 	// minConcurrency is below one because one statement in flight from each
 	// proxy is already too much where very many proxies share an upstream.
@@ -31,6 +31,9 @@
 	decreasedAt time.Time
 	// fixed is set if limit never changes.
 	fixed bool
+	// share is how many slots of the upstream there are for each proxy; 0 if that
+	// is not known.
+	share float64
 }
 
 // unlimitedConcurrency allows as many statements as a pool of virtual connections
@@ -41,6 +44,24 @@
 
 func newConcurrencyLimit() concurrencyLimit { return concurrencyLimit{limit: initialConcurrency} }
 
+// setShare sets how many slots of the upstream there are for each proxy. Until more is
+// known the limit is that share: with more, proxies that start together would fill the
+// upstream's queue.
+func (l *concurrencyLimit) setShare(share float64) {
+	if l.fixed {
+		return
+	}
+	known := l.share > 0
+	l.share = share
+	if !known && share > 0 {
+		l.limit = l.fairLimit()
+	}
+}
+
+// fairLimit returns the limit with which the proxies together use all slots of the
+// upstream, at least one statement each.
+func (l *concurrencyLimit) fairLimit() float64 { return max(math.Ceil(l.share), 1) }
+
 // allows reports whether one more statement may be sent. While the limit is
 // below one, statements are sent one at a time, and a lower limit makes the
 // pause after a decrease longer.
@@ -57,24 +78,35 @@
 	return time.Duration(float64(minDecreaseInterval) / l.limit)
 }
 
-// onSuccess records the answer to a statement that ran. If the limit was
-// reached, it grows by 1/limit, so by about one when as many statements as the
+// onSuccess records the answer to a statement that ran without a wait. If the limit
+// was reached, it grows by 1/limit, so by about one when as many statements as the
 // limit allows have succeeded.
 func (l *concurrencyLimit) onSuccess(inFlight int) {
 	if !l.fixed && float64(inFlight+1) > l.limit {
-		l.limit += 1 / max(l.limit, 1)
+		l.limit += l.growth() / max(l.limit, 1)
+	}
+}
+
+// growth returns by how much the limit grows when as many statements as it allows have
+// succeeded. The limits of all proxies may grow at the same time, together by no more
+// than the upstream has slots. Below one, one success ends the pauses.
+func (l *concurrencyLimit) growth() float64 {
+	if l.share == 0 || l.limit < 1 {
+		return 1
 	}
+	return min(l.share, 1)
 }
 
-// onQueueDelay lowers the limit, to no less than one, because statements seem to
-// wait in the upstream's queue. One statement is always allowed because the
-// upstream may be slow without a queue.
+// onQueueDelay lowers the limit, to no less than the fair limit, because statements seem
+// to wait in the upstream's queue. With less the upstream may be slow without a queue,
+// and its slots would idle.
 func (l *concurrencyLimit) onQueueDelay(at time.Time) {
-	if l.fixed || l.limit <= 1 || at.Sub(l.decreasedAt) < minDecreaseInterval {
+	lowest := l.fairLimit()
+	if l.fixed || l.limit <= lowest || at.Sub(l.decreasedAt) < minDecreaseInterval {
 		return
 	}
 	l.decreasedAt = at
-	l.limit = max(l.limit*decreaseFactor, 1)
+	l.limit = max(l.limit*decreaseFactor, lowest)
 }
 
 // onRefusal lowers the limit because the upstream had no room for a statement.
--- a/proxy/concurrency_test.go
+++ b/proxy/concurrency_test.go
@@ -131,7 +131,7 @@
 		queued := max(pl.inFlight-slots, 0)
 		longest = max(longest, queued)
 		took := service + time.Duration(queued)*service/slots
-		pl.recordRun(took)
+		pl.recordRun(workKind{}, took)
 		pl.concurrency.decreasedAt = time.Time{} // answers come further apart than minDecreaseInterval
 	}
 	// A queue delay of 40 ms is that of 40 ms / 20 ms * 3 slots = 6
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -25,11 +25,12 @@
 	// hundred answers.
 	minRTTDrift = 200
 	// maxQueueDelay is how much longer than the minimum round-trip time
-	// statements may take on average before the concurrency limit is lowered.
-	// An upstream serves its queue in the order of arrival, so urgent
-	// statements can't pass those that wait there. With 60, 90 and 130 ms,
-	// the load model in the tests has a lower score: operations within their
-	// target count in full, late ones in part.
+	// statements may take on average before the concurrency limit is lowered,
+	// where the usual time of such work isn't known: a relay knows the commands
+	// of others only. An upstream serves its queue in the order of arrival, so
+	// urgent statements can't pass those that wait there. With 60, 90 and
+	// 130 ms, the load model in the tests has a lower score: operations within
+	// their target count in full, late ones in part.
 	maxQueueDelay = 40 * time.Millisecond
 	// serviceTimeHalfLife is the half-life of the service time of an unused
 	// upstream, so that one that was slow is tried again.
@@ -136,8 +137,8 @@
 	p.minRTT += p.minRTT / minRTTDrift
 }
 
-// recordRun records the answer to a statement that ran and how long it took.
-func (p *pool) recordRun(took time.Duration) {
+// recordRun records the answer to a statement of a kind that ran and how long it took.
+func (p *pool) recordRun(kind workKind, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := now()
@@ -146,11 +147,13 @@
 	p.serviceTime += serviceTimeWeight * (ms - p.serviceTime)
 	p.addAnswerTimeLocked(at, took)
 	p.lastRunAt = at
-	if queueMs := p.serviceTime - float64(p.minRTT)/float64(time.Millisecond); queueMs > float64(maxQueueDelay)/float64(time.Millisecond) {
+	switch p.judgeQueueLocked(kind, took) {
+	case queueLong:
 		p.concurrency.onQueueDelay(at)
-		return
+		p.yielding.recordQueue(at)
+	case queueEmpty:
+		p.concurrency.onSuccess(p.inFlight)
 	}
-	p.concurrency.onSuccess(p.inFlight)
 }
 
 // addAnswerTimeLocked adds to the moving average by which upstreams are chosen. An answer
@@ -162,15 +165,15 @@
 	p.answerTime += time.Duration(weight * float64(took-p.answerTime))
 }
 
-// recordStatement records the answer to a statement, whether it ran or not.
-func (p *pool) recordStatement(code Code, took time.Duration) {
+// recordStatement records the answer to a statement of a kind, whether it ran or not.
+func (p *pool) recordStatement(kind workKind, code Code, took time.Duration) {
 	p.upstreamMetrics.countOutcome(code)
 	switch {
 	case !code.fromUpstream():
 	case code.NotRun():
 		p.recordAnswer(took)
 	default:
-		p.recordRun(took)
+		p.recordRun(kind, took)
 	}
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -57,6 +57,9 @@
 	// grantTimerAt is when the next timer calls grantLocked; zero for none.
 	grantTimerAt time.Time
 
+	// workTimes is shared by the proxy's pools.
+	workTimes   *workTimes
+	queueDelay  queueDelay
 	serviceTime float64 // milliseconds
 	// answerTime is like serviceTime, but follows rare answers sooner.
 	answerTime time.Duration
@@ -133,6 +136,7 @@
 		pacer:        dialPacer{createdAt: now()},
 		concurrency:  newConcurrencyLimit(),
 		teams:        map[string]*poolTeam{},
+		workTimes:    &workTimes{},
 		metrics:      tally.NoopScope,
 
 		upstreamMetrics: newUpstreamMetrics(tally.NoopScope, "", ""),
@@ -168,11 +172,13 @@
 	p.grantLocked()
 }
 
-// setYielding replaces what the view says about the work that yields.
-func (p *pool) setYielding(y yielding) {
+// setShare replaces what the view says of the proxy's part of the upstream's slots and
+// of the work that yields.
+func (p *pool) setShare(y yielding) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.yielding.part, p.yielding.shortestTarget = y.part, y.shortestTarget
+	p.concurrency.setShare(y.part)
 }
 
 // setQuota changes the quota if it differs.
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -48,7 +48,7 @@
 	assert.NilError(t, err)
 	sentAt := now()
 	time.Sleep(time.Millisecond)
-	pl.recordRun(time.Millisecond)
+	pl.recordRun(workKind{}, time.Millisecond)
 	pl.release(second)
 	pl.discard(first, sentAt, nil)
 	assert.Equal(t, len(pl.idle), 1)
@@ -133,11 +133,11 @@
 	f := newFixture(t)
 	pl, _ := f.proxy.pool(f.parts.Upstreams[1])
 	for range 20 {
-		pl.recordRun(100 * time.Millisecond)
+		pl.recordRun(workKind{}, 100*time.Millisecond)
 	}
 	before := pl.estimate(upstream.Position{}).wait
 	for range 20 {
-		pl.recordStatement(CodeBusy, time.Millisecond)
+		pl.recordStatement(workKind{}, CodeBusy, time.Millisecond)
 	}
 	assert.Assert(t, pl.estimate(upstream.Position{}).wait > before*9/10)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -85,6 +85,7 @@
 	choices        choiceMetrics
 	view           atomic.Pointer[site.View]
 	operationTimes operationTimes
+	workTimes      workTimes
 	// sampling allows one request for a sample at a time to the primary of
 	// each group, and one to a control host, under the empty key.
 	sampling singleflight.Group
@@ -157,7 +158,7 @@
 			inView[key], relayed[key] = true, useRelays
 			newWorkUntil := p.newWorkUntil(v, u)
 			p.updatePool(key, u, newWorkUntil, p.directQuota(v, g, key, homeID, useRelays))
-			p.pools[key].setYielding(newYielding(v, u, useRelays))
+			p.pools[key].setShare(newYielding(v, u, useRelays))
 			if useRelays {
 				p.updateRelayedPool(key, u, newWorkUntil)
 			}
@@ -191,6 +192,7 @@
 	if _, ok := p.pools[key]; !ok {
 		p.pools[key] = newPool(p.options.Dialer, u, quota)
 		p.pools[key].metrics = p.metrics
+		p.pools[key].workTimes = &p.workTimes
 		p.pools[key].upstreamMetrics = p.upstreamMetricsLocked(u.Id, "direct")
 	}
 	p.pools[key].update(u, newWorkUntil, quota)
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -168,7 +168,7 @@
 		return retry(reasonConnectionLost, 0)
 	}
 	a, last := answers[0], answers[len(answers)-1]
-	c.pool.recordStatement(a.Code, now().Sub(sentAt))
+	c.pool.recordStatement(s.workKind(stmt.statement), a.Code, now().Sub(sentAt))
 	switch {
 	case a.Code == CodeNoConnection:
 		return *s.handleNotRun(c, Answer{Code: a.Code, State: last.State}).chooseAgain()
--- a/proxy/relayedconn.go
+++ b/proxy/relayedconn.go
@@ -241,7 +241,7 @@
 		p.recordCommand(code, took)
 		return
 	}
-	p.recordStatement(code, took)
+	p.recordStatement(workKind{}, code, took)
 	if code == CodeBusy {
 		p.recordBusy(busyBackoff)
 	}
--- a/proxy/teamconns_test.go
+++ b/proxy/teamconns_test.go
@@ -139,7 +139,7 @@
 			p.resume(c)
 			p.discardUnclean(c)
 		default:
-			p.recordRun(now().Sub(sentAt))
+			p.recordRun(workKind{}, now().Sub(sentAt))
 			p.release(c)
 		}
 		p.closeIdle()
@@ -328,7 +328,7 @@
 			callers.Go(func() {
 				c := mustAcquire(t, p, team)
 				time.Sleep(time.Duration(n) * 30 * time.Millisecond)
-				p.recordRun(30 * time.Millisecond)
+				p.recordRun(workKind{}, 30*time.Millisecond)
 				p.release(c)
 			})
 		}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -186,7 +186,7 @@
 	}
 	c.pool.suspend(c)
 	a := answers[0]
-	c.pool.recordStatement(a.Code, now().Sub(sentAt))
+	c.pool.recordStatement(s.workKind(stmt.statement), a.Code, now().Sub(sentAt))
 	switch {
 	case a.Code == CodeNone:
 		s.recordTransactionRun(stmt, a, sentAt)
@@ -268,7 +268,7 @@
 		return final(outcomeUnknown(fault.ReasonOutcomeUnknown))
 	}
 	a := answers[0]
-	c.pool.recordStatement(a.Code, now().Sub(sentAt))
+	c.pool.recordStatement(s.workKind(stmt.statement), a.Code, now().Sub(sentAt))
 	c.pool.suspend(c)
 	if a.Code == CodeBusy && a.State == StateOpen {
 		return retry(reasonBusy, jitter(busyBackoff))
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -32,7 +32,7 @@
 		return final(outcomeUnknown(fault.ReasonOutcomeUnknown))
 	}
 	a := answers[0]
-	pl.recordStatement(a.Code, now().Sub(sentAt))
+	pl.recordStatement(s.workKind(stmt.statement), a.Code, now().Sub(sentAt))
 	if a.Code.NotRun() {
 		return s.handleNotRun(c, a)
 	}
--- a/proxy/yield.go
+++ b/proxy/yield.go
@@ -14,7 +14,7 @@
 	// coincide.
 	yieldMargin = 1.2
 	// yieldPeriod is for how long work yields after a statement that does not had to
-	// wait. Overload lasts for seconds, and in each of them some does.
+	// wait, or after an answer that shows a queue. Overload lasts for seconds, and in each of them some does.
 	yieldPeriod = time.Second
 	// spareTargets is how many of the shortest targets of its group an operation must
 	// have to spare to yield: that of the work that waits now, and that of the work
@@ -33,15 +33,15 @@
 	part float64
 	// shortestTarget is the shortest target of the group's routes.
 	shortestTarget time.Duration
-	// contendedAt is when work that doesn't yield last had to wait, and endedAt when
-	// the last statement ended.
+	// contendedAt is when work that doesn't yield last had to wait, here or in the
+	// upstream's queue, and endedAt when the last statement ended.
 	contendedAt, endedAt time.Time
 }
 
 // newYielding returns the decision for an upstream of a view. Relays are few enough that
 // one statement of each leaves slots free.
 func newYielding(v *site.View, u *pb.SiteUpstream, useRelays bool) yielding {
-	if useRelays {
+	if useRelays || v.Proxies == 0 {
 		return yielding{}
 	}
 	return yielding{part: float64(u.Slots) / float64(v.Proxies), shortestTarget: v.ShortestTarget(u.Group)}
@@ -78,6 +78,10 @@
 	}
 }
 
+// recordQueue records that statements wait too long in the upstream's queue, so also those
+// of other proxies.
+func (y *yielding) recordQueue(at time.Time) { y.contendedAt = at }
+
 // mustYieldLocked reports whether an operation must leave the upstream to others now.
 func (p *pool) mustYieldLocked(u urgency, at time.Time) bool {
 	return p.yielding.applies(u, at) && p.yielding.pause(p.inFlight, p.answerTime, at) > 0
