Load model: no operation begins after the end of a run

Cause: arrivals checked the length of the run before the pause until the next arrival, so each class began one operation after the end. A trace of long-work-before-short (5 runs) shows three operations in the second after 14 s, at 14.010, 14.022 and 14.076 s; in two runs one of them was late (1.8 and 2.5 s), and as one of three is more than one in twenty, the run counted as late for 7 s, where the others gave 4 to 6 s.

Change: the length is checked when an operation would begin.

--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -243,14 +243,13 @@
 // the run.
 func (m *model) arrivals(c *modelClass, rng *rand.Rand, length time.Duration, callers *sync.WaitGroup) {
 	for {
-		at := now().Sub(m.start)
-		if at >= length {
-			return
-		}
 		m.mu.Lock()
-		rate := m.rate(at) * c.perSecond
+		rate := m.rate(now().Sub(m.start)) * c.perSecond
 		m.mu.Unlock()
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		if now().Sub(m.start) >= length {
+			return
+		}
 		o := newOperation(c, rng)
 		callers.Go(func() { m.runOperation(o) })
 	}
