--- a/proxy/queuedelay.go
+++ b/proxy/queuedelay.go
@@ -136,6 +136,7 @@
 func (p *pool) judgeQueueLocked(kind workKind, took time.Duration) queueState {
 	if expected, ok := p.expectedWorkLocked(kind, took); ok {
 		p.queueDelay.add(expected, took-p.queueDelay.network)
+		p.upstreamMetrics.updateQueueDelay(p.queueDelay.delay)
 		return p.queueDelay.state(p.yielding.shortestTarget)
 	}
 	if p.serviceTime-milliseconds(p.minRTT) > milliseconds(maxQueueDelay) {
--- a/proxy/upstreammetrics.go
+++ b/proxy/upstreammetrics.go
@@ -20,14 +20,17 @@
 	// those that others of the group could have run, and those that only a primary
 	// can run.
 	choice, forced tally.Counter
-	expectedWait   tally.Gauge
+	// expectedWait is what a read is expected to wait, and queueDelay how long statements
+	// wait in the upstream's own queue.
+	expectedWait, queueDelay tally.Gauge
 }
 
 // newUpstreamMetrics returns the metrics of an upstream to which commands go on a path:
 // "direct" or "relay".
 func newUpstreamMetrics(scope tally.Scope, upstreamID, path string) *upstreamMetrics {
 	scope = scope.Tagged(map[string]string{"upstream": upstreamID})
-	m := &upstreamMetrics{expectedWait: scope.Tagged(map[string]string{"path": path}).Gauge("upstream_expected_wait_seconds")}
+	onPath := scope.Tagged(map[string]string{"path": path})
+	m := &upstreamMetrics{expectedWait: onPath.Gauge("upstream_expected_wait_seconds"), queueDelay: onPath.Gauge("upstream_queue_delay_seconds")}
 	for code := range m.outcomes {
 		m.outcomes[code] = scope.Tagged(map[string]string{"path": path, "outcome": Code(code).outcome()}).Counter("upstream_statements_total")
 	}
@@ -78,6 +81,10 @@
 
 func (m *upstreamMetrics) updateWait(wait time.Duration) { m.expectedWait.Update(wait.Seconds()) }
 
+func (m *upstreamMetrics) updateQueueDelay(delay time.Duration) {
+	m.queueDelay.Update(max(delay, 0).Seconds())
+}
+
 // upstreamMetricsLocked returns the metrics for a new pool. The caller holds the lock.
 func (p *Proxy) upstreamMetricsLocked(upstreamID, path string) *upstreamMetrics {
 	if !p.withMetrics[upstreamID] && len(p.withMetrics) >= maxUpstreamSeries {
