Relays of a split data centre share its connections

Cause: while proxies of a data centre watch different control hosts, each part has a relay of its own for an upstream, and each opened a whole share. The upstream was over its limit, and the relay that came last had no connection for 7 s while its callers waited (76 to 134 statements) and its neighbour held idle ones.

Change: the share follows the length of the list, as on sites with teams, rounded up, so that data centres a little smaller than the average keep a whole share. Idle connections beyond a quota are closed at the next tick instead of after 3 s.

TestSubstituteForARelayHasItsConnections listed one of 60 proxies and expected half of a whole share; it now lists the half of the site that its data centre has, with the same bound.

Ruled out: the longest list so far as the measure (a proxy that starts in a split has seen no other).

--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,10 +41,14 @@
 // upstreams.
 func (p *Proxy) ownRelayQuota(v *site.View, g *site.GroupView) connectionQuota {
 	quota := relayQuota(g.MaxConnections, len(p.options.Regions))
+	share := listShare(len(v.Relays), v.Proxies, len(p.options.Regions)) * float64(quota.limit)
 	if v.TeamCount > quota.limit {
-		share := teamsRelayShare * listShare(len(v.Relays), v.Proxies, len(p.options.Regions))
-		quota.limit = max(int(share*float64(quota.limit)), scarceConnections)
+		share *= teamsRelayShare
+	} else {
+		// Data centres that are a little smaller than the average keep a whole share.
+		share = math.Ceil(share)
 	}
+	quota.limit = max(int(share), scarceConnections)
 	return quota
 }
 
--- a/proxy/substitute_test.go
+++ b/proxy/substitute_test.go
@@ -23,7 +23,10 @@
 func TestSubstituteForARelayHasItsConnections(t *testing.T) {
 	f := newFixture(t)
 	f.proxy.options.Relays, f.proxy.options.Regions = otherRelay{}, map[string]string{"here": "r", "there": "r"}
-	f.parts.Relays, f.parts.Proxies = []*pb.RelayHost{{Name: "other"}}, 60
+	for i := range 30 {
+		f.parts.Relays = append(f.parts.Relays, &pb.RelayHost{Name: fmt.Sprint("other", i)})
+	}
+	f.parts.Proxies = 60
 	f.parts.Config.Groups[0].MaxConnections = 44
 	f.proxy.SetView(site.NewView(f.parts))
 	key := poolKey{id: "p1", address: "p1"}
@@ -38,6 +41,46 @@
 	assert.Equal(t, f.proxy.pools[key].quota, fallbackQuota)
 }
 
+// Guards against data centres whose proxies watch different control hosts, so that each
+// part has a relay of its own for an upstream: every relay took a whole share, the
+// upstream was over its limit, and the relay that came last had no connection while
+// others held idle ones.
+func TestRelaysOfASplitDataCentreShareItsConnections(t *testing.T) {
+	f := newFixture(t)
+	f.proxy.options.Relays, f.proxy.options.Regions = ownRelay{}, map[string]string{"here": "r", "there": "r"}
+	f.parts.Proxies, f.parts.Config.Groups[0].MaxConnections = 20, 24
+	quotaWith := func(listed int) int {
+		f.parts.Relays = nil
+		for i := range listed {
+			f.parts.Relays = append(f.parts.Relays, &pb.RelayHost{Name: fmt.Sprint(i)})
+		}
+		f.proxy.SetView(site.NewView(f.parts))
+		return f.proxy.pools[poolKey{id: "p1", address: "p1"}].quota.limit
+	}
+	assert.Equal(t, quotaWith(10), 10, "the data centre is whole")
+	assert.Equal(t, quotaWith(12), 10, "the data centre is larger than the average")
+	assert.Equal(t, quotaWith(6)+quotaWith(4), 10, "the data centre is split")
+
+	quotaWith(10)
+	pl := f.proxy.pools[poolKey{id: "p1", address: "p1"}]
+	pl.concurrency = unlimitedConcurrency()
+	var conns []*conn
+	for range 10 {
+		c, err := pl.acquire(context.Background(), highestUrgency(), "", time.Second)
+		assert.NilError(t, err)
+		conns = append(conns, c)
+	}
+	for _, c := range conns[:8] {
+		pl.release(c)
+	}
+	quotaWith(4)
+	pl.closeIdle()
+	assert.Equal(t, pl.open, 4, "idle connections beyond the share stayed open")
+	pl.release(conns[8])
+	pl.release(conns[9])
+	assert.Equal(t, pl.open, 4)
+}
+
 // ownRelay is a Relays for which this proxy is the relay of every upstream.
 type ownRelay struct{ Relays }
 
--- a/proxy/teamconns.go
+++ b/proxy/teamconns.go
@@ -162,6 +162,7 @@
 		return
 	}
 	at := now()
+	p.closeBeyondQuotaLocked(at)
 	early := min(p.quota.idleTimeout, surplusIdleTimeout)
 	excess := -p.maxKeptIdle()
 	for _, r := range p.rankIdleLocked(at) {
@@ -186,6 +187,17 @@
 	}
 }
 
+// closeBeyondQuotaLocked closes idle connections that the quota has no room for:
+// other proxies are entitled to them, and an upstream refuses those that would
+// exceed its limit.
+func (p *pool) closeBeyondQuotaLocked(at time.Time) {
+	for p.open > p.quota.limit && len(p.idle) > 0 {
+		c := p.leastUsefulIdleLocked(at)
+		p.removeIdleLocked(c)
+		p.closeLocked(c)
+	}
+}
+
 // maxKeptIdle returns how many teams may keep an unused connection.
 func (p *pool) maxKeptIdle() int {
 	return max(p.quota.limit-max(p.quota.limit/freeShare, 1), 1)
