Relays borrow connections that other data centres leave unused

Cause: each relay kept to an equal share of an upstream's connections.

Change: a relay without many teams opens up to as many again, each for 1 s, if statements have waited 20 ms; a refused dial ends all loans, and nothing is borrowed while its concurrency limit was lowered within 1 s. What such a relay has not used for 1 s is closed (3 s before). proxy/borrow.go; nothing is sent.

Trial, not kept: a relay lowers its limit once for 14 long answers.

--- a/proxy/grant.go
+++ b/proxy/grant.go
@@ -82,7 +82,7 @@
 // mayOpen reports whether a connection can be opened while none is idle.
 func (r *grantRound) mayOpen() bool {
 	p := r.pool
-	return !r.idleOnly && !p.closed && p.open < p.quota.limit && p.mayDialLocked(r.at)
+	return !r.idleOnly && !p.closed && p.mayDialLocked(r.at) && (p.open < p.limitLocked() || p.borrowLocked(r.at))
 }
 
 // connect finds a connection for a waiter whose team has none idle: one that is
@@ -117,9 +117,9 @@
 }
 
 // mayDialLocked reports whether a connection may be dialed, in addition to those that
-// are open, or instead of one of them if there are as many as the quota allows.
+// are open, or instead of one of them if there are as many as the pool may have.
 func (p *pool) mayDialLocked(at time.Time) bool {
-	return p.pacer.allows(at, min(p.open, p.quota.limit-1), p.dialing)
+	return p.pacer.allows(at, min(p.open, p.limitLocked()-1), p.dialing)
 }
 
 // reserve leaves room for a waiter whose connection is being dialed.
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -61,6 +61,7 @@
 		p.lastAnswerAt = now()
 		p.backoffUntil = now().Add(backoffMin)
 		p.pacer.onRefusal(now(), open)
+		p.returnAllBorrowedLocked(now())
 		return
 	}
 	p.recordFailureLocked()
@@ -300,7 +301,7 @@
 	p.open++
 	own.open++
 	c := p.newConn(opened, own)
-	if p.closed || p.open > p.quota.limit {
+	if p.closed || p.open > p.limitLocked() {
 		p.closeLocked(c)
 		return
 	}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -36,6 +36,7 @@
 	leavingSince time.Time
 	newWorkUntil time.Time
 	quota        connectionQuota
+	borrowing    borrowing
 	open         int
 	idle         []*conn // most recently used last
 	closed       bool
--- a/proxy/poolclose.go
+++ b/proxy/poolclose.go
@@ -24,7 +24,8 @@
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.open > p.quota.limit {
+	p.borrowing.expire(now())
+	if p.closed || p.open > p.limitLocked() {
 		p.discardLocked(c)
 		return
 	}
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -14,6 +14,8 @@
 type connectionQuota struct {
 	// limit is how many connections the proxy may have open.
 	limit int
+	// borrowable is how many more it may borrow; see borrow.go.
+	borrowable int
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout time.Duration
 	// scarce is set if a proxy often has to open a connection first, so
@@ -49,6 +51,9 @@
 		share = math.Ceil(share)
 	}
 	quota.limit = max(int(share), scarceConnections)
+	if v.TeamCount <= quota.limit {
+		quota.borrowable = quota.limit
+	}
 	return quota
 }
 
--- a/proxy/teamconns.go
+++ b/proxy/teamconns.go
@@ -139,7 +139,7 @@
 // makeRoomLocked closes idle connections until one more may be opened. It reports
 // false if too few are idle.
 func (p *pool) makeRoomLocked(at time.Time) bool {
-	for p.open >= p.quota.limit {
+	for p.open >= p.limitLocked() {
 		c := p.leastUsefulIdleLocked(at)
 		if c == nil {
 			return false
@@ -162,8 +162,8 @@
 		return
 	}
 	at := now()
-	p.closeBeyondQuotaLocked(at)
-	early := min(p.quota.idleTimeout, surplusIdleTimeout)
+	p.returnBorrowedLocked(at)
+	early := p.quota.surplusIdleTimeout()
 	excess := -p.maxKeptIdle()
 	for _, r := range p.rankIdleLocked(at) {
 		maxIdle := p.quota.idleTimeout
@@ -187,11 +187,11 @@
 	}
 }
 
-// closeBeyondQuotaLocked closes idle connections that the quota has no room for:
+// closeBeyondQuotaLocked closes idle connections that the pool may not have any more:
 // other proxies are entitled to them, and an upstream refuses those that would
 // exceed its limit.
 func (p *pool) closeBeyondQuotaLocked(at time.Time) {
-	for p.open > p.quota.limit && len(p.idle) > 0 {
+	for p.open > p.limitLocked() && len(p.idle) > 0 {
 		c := p.leastUsefulIdleLocked(at)
 		p.removeIdleLocked(c)
 		p.closeLocked(c)
