--- a/proxy/borrow.go
+++ b/proxy/borrow.go
@@ -32,10 +32,10 @@
 	// fullPeriod is how long after a decrease of the concurrency limit nothing is
 	// borrowed: the upstream has a queue, and more connections would only lengthen it.
 	fullPeriod = time.Second
-	// lenderPause is how long nothing is borrowed after a refusal. It doubles with
-	// each further one up to lenderPauseMax. A burst of load lasts for seconds.
-	lenderPause    = time.Second
-	lenderPauseMax = 8 * time.Second
+	// refusedPause is how long nothing is borrowed after a refusal. It doubles with
+	// each further one up to refusedPauseMax. A burst of load lasts for seconds.
+	refusedPause    = time.Second
+	refusedPauseMax = 8 * time.Second
 )
 
 // borrowing holds what a pool has borrowed.
@@ -73,7 +73,7 @@
 // onRefusal ends all loans, because the upstream has no room.
 func (b *borrowing) onRefusal(at time.Time) {
 	b.endsAt = nil
-	b.nextAt = at.Add(jitter(min(lenderPause<<min(b.refused, 3), lenderPauseMax)))
+	b.nextAt = at.Add(jitter(min(refusedPause<<min(b.refused, 3), refusedPauseMax)))
 	b.refused++
 }
 
@@ -108,8 +108,8 @@
 		return false
 	}
 	begin := p.borrowing.nextAt
-	if ripe := p.waiters[0].queuedAt.Add(borrowAfter); ripe.After(begin) {
-		begin = ripe
+	if waitedEnough := p.waiters[0].queuedAt.Add(borrowAfter); waitedEnough.After(begin) {
+		begin = waitedEnough
 	}
 	if begin.After(at) {
 		p.grantAfterLocked(begin.Sub(at))
