--- a/proxy/large_bench_test.go
+++ b/proxy/large_bench_test.go
@@ -54,3 +54,16 @@
 		p.PrimaryReachability()
 	}
 }
+
+func BenchmarkTickOfALargeSite(b *testing.B) {
+	p := New(Options{Name: "front-1", DataCentre: "a", Regions: map[string]string{"a": "r"}})
+	p.SetView(site.NewView(largeParts(1)))
+	b.ReportAllocs()
+	for b.Loop() {
+		p.claimChecks()
+		p.samplesDue()
+		p.refreshRelayQuotas()
+		p.closeIdle()
+		p.recordViewAge()
+	}
+}
