Relays name a team's key as control hosts do; no change of behaviour

counterKey in package relay had become a wrapper of quota.CounterKey. Its callers use that, which now says why the key stands where an upstream's id does. make lint and the tests of relay and quota pass; three tests name the function that they called before through the wrapper.

--- a/quota/rank.go
+++ b/quota/rank.go
@@ -7,7 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// CounterKey is the key of a team in the choice of its counter.
+// CounterKey is the key of a team in the choice of its counter. Among proxies it takes the
+// place of the id of an upstream in the choice of a relay.
 func CounterKey(team string) string { return "team " + team }
 
 // RankCounters returns hosts in the order in which they count for a team, by rendezvous
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -172,7 +172,7 @@
 		l.options.Client.recordFailure(p, err)
 		return
 	}
-	l.options.Client.avoidFor(p, counterKey(team), slowCounterAvoidance)
+	l.options.Client.avoidFor(p, quota.CounterKey(team), slowCounterAvoidance)
 	l.options.Client.suspect(p)
 	l.log.Info("counter of a team did not answer in time; asking another one", "counter", p.host.Name, "team", team)
 }
@@ -180,7 +180,7 @@
 // count counts operations of a team here against a part of the data centre's share.
 func (l *Limits) count(team *site.Team, operations int, part float64) (admitted int, retryAfter time.Duration) {
 	share := l.share()
-	share.Since = l.options.Client.countsSince(counterKey(team.Name), share.Since)
+	share.Since = l.options.Client.countsSince(quota.CounterKey(team.Name), share.Since)
 	return l.counted.Admit(bootclock.Now(), team.Name, limitOf(team), share.Times(part), operations)
 }
 
@@ -217,14 +217,11 @@
 	leaving := l.leaving
 	l.mu.Unlock()
 	if leaving {
-		return l.options.Client.otherRelay(counterKey(team))
+		return l.options.Client.otherRelay(quota.CounterKey(team))
 	}
-	return l.options.Client.relay(counterKey(team))
+	return l.options.Client.relay(quota.CounterKey(team))
 }
 
-// counterKey takes the place of the id of an upstream in the choice of a relay.
-func counterKey(team string) string { return quota.CounterKey(team) }
-
 func limitOf(team *site.Team) quota.Limit {
 	return quota.Limit{RatePerSecond: team.RatePerSecond, Burst: team.Burst}
 }
--- a/relay/limits_model_test.go
+++ b/relay/limits_model_test.go
@@ -253,7 +253,7 @@
 			if other != p && s.now.Before(p.avoidUntil[other]) {
 				continue
 			}
-			if score(other.name, counterKey("team")) > score(chosen.name, counterKey("team")) {
+			if score(other.name, quota.CounterKey("team")) > score(chosen.name, quota.CounterKey("team")) {
 				chosen = other
 			}
 		}
@@ -275,7 +275,7 @@
 	limit := p.limit
 	if counter := s.counter(p); counter != nil {
 		limiter, share, limit = counter.counted, s.share(counter), counter.limit
-		share.Since = countsSince(counter.name, counterKey("team"), share.Since, counter.names(), counter.gone)
+		share.Since = countsSince(counter.name, quota.CounterKey("team"), share.Since, counter.names(), counter.gone)
 	}
 	if admitted, _ := limiter.Admit(s.now, "team", limit, share, 1); admitted > 0 {
 		s.ran = append(s.ran, s.now)
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/quota"
 	"lovageslip/site"
 )
 
@@ -100,7 +101,7 @@
 	assert.Assert(t, time.Since(begunAt) < maxCounters*admitTimeout+500*time.Millisecond)
 	next := asker.limits.counter("t")
 	assert.Assert(t, next == nil || next.host.Name != counter.name)
-	assert.Assert(t, asker.client.relay(counterKey("t")) == next, "the counter is avoided as a relay of everything")
+	assert.Assert(t, asker.client.relay(quota.CounterKey("t")) == next, "the counter is avoided as a relay of everything")
 }
 
 // Guards against a proxy that goes on counting for itself while the others already
