--- a/sitecontrol/report.go
+++ b/sitecontrol/report.go
@@ -49,7 +49,7 @@
 
 func (s *Server) storeReport(r *pb.ReportRequest) {
 	// countFor needs the order, which proxies do not owe.
-	slices.SortFunc(r.Complaints, func(a, b *pb.Complaint) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	slices.SortFunc(r.Complaints, compareUpstreams)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setRelayLocked(r.Reporter, s.reports[r.Reporter].message, r)
@@ -167,10 +167,13 @@
 	for id, n := range counts {
 		list = append(list, &pb.Complaint{Upstream: id, Proxies: n})
 	}
-	slices.SortFunc(list, func(a, b *pb.Complaint) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	slices.SortFunc(list, compareUpstreams)
 	return list
 }
 
+// compareUpstreams orders the complaints of a report, which may hold nil entries.
+func compareUpstreams(a, b *pb.Complaint) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) }
+
 // countsLifetime is how long the leader's watches over groups use the same sum of all
 // reports: half of their interval. A sum for each group and step would take time that
 // grows with the square of the groups, times the proxies.
