--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -191,9 +191,14 @@
 		time.Sleep(4 * time.Second)
 		d.signal(frozen, syscall.SIGCONT)
 	}
-	time.Sleep(4 * time.Second)
+	// It serves for drain_ms after the acknowledgement and a little longer.
+	for ended := false; !ended; time.Sleep(50 * time.Millisecond) {
+		g.update(func() {
+			ended = !released.ackedDrain.IsZero() && time.Since(released.ackedDrain) > drainMs*time.Millisecond+500*time.Millisecond
+		})
+	}
 	g.update(func() { g.onStepDown = nil })
-	released.restart()
+	released.replace()
 	// The control host that was frozen is in touch again after this.
 	time.Sleep(6 * time.Second)
 	return nil
--- a/review/_rig/servers.go
+++ b/review/_rig/servers.go
@@ -566,14 +566,28 @@
 	go s.announce()
 }
 
-// restart makes a server that has drained or crashed come back as a new process under
-// its id, with its log, as a replica.
-func (s *server) restart() {
-	s.service.update(func() {
-		s.down, s.draining, s.primary = false, false, false
+// replace ends a server that has drained, as PROTOCOL.md says: it sends DELETE and exits,
+// and a new backend at its address has its log.
+func (s *server) replace() {
+	g := s.service
+	g.mu.Lock()
+	id := s.id
+	g.mu.Unlock()
+	for _, address := range g.controls() {
+		if status, _, err := call(http.MethodDelete, address, "/-/instances/"+id, nil); err == nil && status/100 == 2 {
+			break
+		}
+	}
+	g.update(func() {
+		for c := range s.conns {
+			_ = c.Close()
+		}
+		clear(s.conns)
+		s.id += "n"
+		s.draining, s.primary = false, false
 		s.born, s.seq, s.ackedDrain = time.Now().UnixMilli(), 0, time.Time{}
 	})
-	s.service.record.printf("server %s starts again", s.id)
+	g.record.printf("server %s has ended; %s has its address and its log", id, s.id)
 	s.announce()
 }
 
