A change of primary logs what each candidate answered

The lines that order a change, or tell that nobody can take over, now list each candidate with its position or error.

--- a/sitecontrol/order.go
+++ b/sitecontrol/order.go
@@ -38,14 +38,15 @@
 	if now().Sub(w.orderedAt) < promoteRetryInterval {
 		return
 	}
-	best := mostAdvanced(w.probeAll(ctx, others))
+	answers := w.probeAll(ctx, others)
+	best := mostAdvanced(answers)
 	if best == nil {
-		w.server.log.Warn("no replica answers that could take over as the primary", "group", w.group, "reason", reason)
+		w.server.log.Warn("no replica answers that could take over as the primary", "group", w.group, "reason", reason, "candidates", describe(answers))
 		return
 	}
 	token, ok := w.logOrder(ctx, best.upstream.Id, g)
 	w.server.log.Info("leader proposed an order to change the primary", "group", w.group, "from", primary.GetId(), "to", best.upstream.Id,
-		"reason", reason, "position", best.status.Received, "token", token, "logged", ok)
+		"reason", reason, "position", best.status.Received, "candidates", describe(answers), "token", token, "logged", ok)
 	if !ok {
 		return
 	}
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -248,6 +249,23 @@
 	err      error
 }
 
+// describe returns what each upstream answered, as log lines show it.
+func describe(answers []probeResult) []string {
+	var lines []string
+	for _, p := range answers {
+		state := "stays"
+		if p.upstream.Leaving {
+			state = "leaves"
+		}
+		answer := fmt.Sprintf("at %d.%d", p.status.Received.Term, p.status.Received.Offset)
+		if p.err != nil {
+			answer = p.err.Error()
+		}
+		lines = append(lines, p.upstream.Id+" ("+state+"): "+answer)
+	}
+	return lines
+}
+
 func (w *groupWatch) probeAll(ctx context.Context, upstreams []*pb.SiteUpstream) []probeResult {
 	var group conc.WaitGroup
 	var mu sync.Mutex
