A group with synchronous replicas promotes only an upstream that holds every acknowledged commit

Cause: the successor was chosen by preference. A replica that stays went before one that leaves, however far behind it was; one that was busy counted as having received nothing; one that did not answer within 400 ms was left out; and a planned change went on after 0.8 s with a successor that had not caught up. The configured number of synchronous replicas was stored and never used.

Change (sitecontrol/successor.go): with k synchronous replicas, a commit is held by the primary and k others, so by one of any upstreams that leave out at most k. A successor is the most advanced of such a set, and leaving decides only between equals. If too few answer, the change waits (counter changes_postponed_total, one log line a second). Before an order is sent, the replicas are paused, so that nothing is acknowledged after the choice; if another one holds more by then, an order for that one is logged. A primary that leaves steps down only once a replica that stays keeps up. An upstream that ended counts as a possible holder until its successor announces itself at its address, and one that had announced nothing for 30 s when the primary was lost does not hold up the change. Groups without synchronous replicas are served as before.

Related paths looked at: busy and silent replicas, resent orders, an order taken over from an earlier leader, a planned change, a primary that only the control hosts cannot reach (all through the same choice now).

--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -40,6 +40,11 @@
 	// closed.
 	hungGroup string
 	hungUntil chan struct{}
+	// busy upstreams answer that they have no free slot, and paused ones have been told
+	// to receive nothing more.
+	busy, paused map[string]bool
+	// onPause is called, with mu held, before the first upstream pauses.
+	onPause func()
 	// onProbe is called with the id of each upstream that is dead and probed.
 	onProbe func(id string)
 }
@@ -50,7 +55,8 @@
 }
 
 func newFakeUpstreams() *fakeUpstreams {
-	return &fakeUpstreams{primary: map[string]string{}, dead: map[string]bool{}, received: map[string]upstream.Offset{}, term: 1}
+	return &fakeUpstreams{primary: map[string]string{}, dead: map[string]bool{}, received: map[string]upstream.Offset{}, term: 1,
+		busy: map[string]bool{}, paused: map[string]bool{}}
 }
 
 func (f *fakeUpstreams) Status(_ context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
@@ -68,6 +74,9 @@
 	if f.dead[u.Id] {
 		return UpstreamStatus{}, &fault.IO{Op: "dial", Err: context.DeadlineExceeded}
 	}
+	if f.busy[u.Id] {
+		return UpstreamStatus{}, &BusyUpstream{ID: u.Id}
+	}
 	s := UpstreamStatus{Received: upstream.Position{Term: f.term, Offset: f.received[u.Id]}}
 	if f.primary[u.Group] == u.Id {
 		s.Role = upstream.RolePrimary
@@ -93,6 +102,22 @@
 	return f.Status(ctx, u)
 }
 
+func (f *fakeUpstreams) Pause(ctx context.Context, u *pb.SiteUpstream, _ upstream.Term) (UpstreamStatus, error) {
+	f.edit(func() {
+		if f.onPause != nil {
+			f.onPause()
+			f.onPause = nil
+		}
+		f.paused[u.Id] = true
+	})
+	return f.Status(ctx, u)
+}
+
+func (f *fakeUpstreams) Resume(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
+	f.edit(func() { delete(f.paused, u.Id) })
+	return f.Status(ctx, u)
+}
+
 func (f *fakeUpstreams) Promote(ctx context.Context, group, id, holder string, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,6 +139,7 @@
 		f.commitsLost = f.commitsLost || (other != id && !f.dead[other] && offset > f.received[id])
 	}
 	f.primary[group] = id
+	delete(f.paused, id)
 	if f.loseAnswers {
 		return &fault.IO{Op: "promote", Err: context.DeadlineExceeded}
 	}
--- a/sitecontrol/order.go
+++ b/sitecontrol/order.go
@@ -33,18 +33,28 @@
 
 // replace logs an order to promote the replica that has received most, and sends
 // it to the platform. An upstream that is leaving is chosen only if there is no
-// other.
+// other. Where the group has synchronous replicas, replaceProven chooses instead.
 func (w *groupWatch) replace(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState, reason string) {
 	if now().Sub(w.orderedAt) < promoteRetryInterval {
 		return
 	}
+	if w.syncReplicas > 0 {
+		w.replaceProven(ctx, primary, others, g, reason)
+		return
+	}
 	answers := w.probeAll(ctx, others)
 	best := mostAdvanced(answers)
 	if best == nil {
 		w.server.log.Warn("no replica answers that could take over as the primary", "group", w.group, "reason", reason, "candidates", describe(answers))
 		return
 	}
-	token, ok := w.logOrder(ctx, best.upstream.Id, g)
+	w.order(ctx, primary, best, g, reason, answers)
+}
+
+// order logs an order to promote an upstream, asks a primary that still answers to step
+// down, and delivers the order.
+func (w *groupWatch) order(ctx context.Context, primary *pb.SiteUpstream, best *probeResult, g *pb.SiteGroupState, reason string, answers []probeResult) {
+	token, ok := w.logOrder(ctx, best.upstream.Id, g.GetOrder())
 	w.server.log.Info("leader proposed an order to change the primary", "group", w.group, "from", primary.GetId(), "to", best.upstream.Id,
 		"reason", reason, "position", best.status.Received, "candidates", describe(answers), "token", token, "logged", ok)
 	if !ok {
@@ -53,14 +63,14 @@
 	if primary != nil && w.unavailableSince.IsZero() {
 		w.stepDownPrimary(ctx, primary, best.upstream)
 	}
-	w.sendOrder(ctx, best.upstream.Id, token)
+	w.deliver(ctx, best.upstream.Id, token)
 }
 
 // logOrder logs an order of this host to promote an upstream, and returns its token.
 // It reports false if the order was not logged, because this host no longer leads
-// or another order was logged since g.
-func (w *groupWatch) logOrder(ctx context.Context, id string, g *pb.SiteGroupState) (token uint64, ok bool) {
-	command := &pb.OrderPrimary{Group: w.group, Upstream: id, PreviousOrder: g.GetOrder(), Holder: w.server.options.Name}
+// or another order was logged since the previous one, which is given by its token.
+func (w *groupWatch) logOrder(ctx context.Context, id string, previous uint64) (token uint64, ok bool) {
+	command := &pb.OrderPrimary{Group: w.group, Upstream: id, PreviousOrder: previous, Holder: w.server.options.Name}
 	result, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_OrderPrimary{OrderPrimary: command}})
 	if err != nil {
 		w.server.log.Warn("order to change the primary could not be logged", "group", w.group, "upstream", id, "error", err)
@@ -78,11 +88,12 @@
 // the same token. The platform refuses the earlier order once it has accepted this
 // one, and promoting an upstream that is the primary by then changes nothing.
 func (w *groupWatch) takeOver(ctx context.Context, g *pb.SiteGroupState) {
-	token, ok := w.logOrder(ctx, g.Ordered, g)
+	token, ok := w.logOrder(ctx, g.Ordered, g.Order)
 	w.server.log.Info("leader takes over the open order of another control host", "group", w.group, "upstream", g.Ordered,
 		"holder", g.OrderHolder, "previous_token", g.Order, "token", token, "logged", ok)
 	if ok {
-		w.sendOrder(ctx, g.Ordered, token)
+		w.orderSent = true // perhaps by the earlier leader
+		w.deliver(ctx, g.Ordered, token)
 	}
 }
 
@@ -120,7 +131,8 @@
 	var best *probeResult
 	for _, p := range answers {
 		var busy *BusyUpstream
-		if p.err != nil && !errors.As(p.err, &busy) {
+		var refused *CommandRefused
+		if p.err != nil && !errors.As(p.err, &busy) && !errors.As(p.err, &refused) {
 			continue
 		}
 		if best == nil || preferred(p, *best) {
@@ -144,6 +156,7 @@
 // the promotion: checkOrder asks the upstream itself.
 func (w *groupWatch) sendOrder(ctx context.Context, id string, token uint64) {
 	w.resendAt = now().Add(promoteRetryInterval)
+	w.orderSent = true
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := w.server.options.Promoter.Promote(ctx, w.group, id, w.server.options.Name, token)
@@ -187,6 +200,6 @@
 	case g.OrderHolder != w.server.options.Name:
 		w.takeOver(ctx, g)
 	case !now().Before(w.resendAt):
-		w.sendOrder(ctx, g.Ordered, g.Order)
+		w.deliver(ctx, g.Ordered, g.Order)
 	}
 }
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -57,6 +57,13 @@
 	// when it may be sent to the platform again.
 	orderedAt time.Time
 	resendAt  time.Time
+	// orderSent is set once the open order may have reached the platform.
+	orderSent bool
+	// syncReplicas is how many replicas hold a commit before it is acknowledged, as the
+	// configuration says. With 0 the fields below are not used; see successor.go.
+	syncReplicas     uint32
+	members          memberLog
+	postponeLoggedAt time.Time
 }
 
 // runGroups lets each group take a step at each interval. A group whose step takes
@@ -76,6 +83,7 @@
 			if w.stepping.CompareAndSwap(false, true) {
 				steps.Go(func() {
 					defer w.stepping.Store(false)
+					w.syncReplicas = g.SyncReplicas
 					w.step(ctx)
 				})
 			}
@@ -103,6 +111,9 @@
 // follows up an open order, or finds, replaces or probes the primary.
 func (w *groupWatch) step(ctx context.Context) {
 	primary, others, g := w.upstreams()
+	if w.syncReplicas > 0 {
+		w.members.update(w.server.topology().upstreams[w.group], now())
+	}
 	if w.adoptAnnounced(ctx, primary, others) {
 		return
 	}
@@ -134,10 +145,15 @@
 }
 
 func (w *groupWatch) record(ctx context.Context, u *pb.SiteUpstream, reason string) bool {
+	if w.syncReplicas > 0 {
+		// A change of primary pauses them, this host's or that of an earlier leader.
+		w.resumeOthers(ctx, u)
+	}
 	command := &pb.RecordPrimary{Group: w.group, Upstream: u.Id}
 	_, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordPrimary{RecordPrimary: command}})
 	w.server.log.Info("leader proposed to record an upstream as the primary of its group", "group", w.group, "upstream", u.Id, "reason", reason, "error", err)
 	w.unavailableSince, w.cutOffSince = time.Time{}, time.Time{}
+	w.orderSent = false
 	return err == nil
 }
 
@@ -266,13 +282,22 @@
 	return lines
 }
 
+// probeAll asks upstreams for their status side by side.
 func (w *groupWatch) probeAll(ctx context.Context, upstreams []*pb.SiteUpstream) []probeResult {
+	return w.askAll(ctx, upstreams, w.probe)
+}
+
+// askFunc asks an upstream for its status, or tells it something that is answered with
+// its status.
+type askFunc func(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error)
+
+func (w *groupWatch) askAll(ctx context.Context, upstreams []*pb.SiteUpstream, ask askFunc) []probeResult {
 	var group conc.WaitGroup
 	var mu sync.Mutex
 	var answers []probeResult
 	for _, u := range upstreams {
 		group.Go(func() {
-			status, err := w.probe(ctx, u)
+			status, err := ask(ctx, u)
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, probeResult{u, status, err})
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -38,8 +38,9 @@
 	Received upstream.Position
 }
 
-// Prober calls upstreams to ask for their status or to make them step down. It
-// returns *BusyUpstream if the upstream answered that it has no free slot.
+// Prober calls upstreams to ask for their status, to make them step down, or to pause
+// their replication. It returns *BusyUpstream if the upstream answered that it has no
+// free slot, and *CommandRefused if it answered with another error.
 type Prober interface {
 	Status(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error)
 	// Position returns the position that the upstream holds if it is a
@@ -48,6 +49,12 @@
 	// StepDown makes an upstream that is the primary of a lower term than the
 	// given one a replica, and returns its status after that.
 	StepDown(ctx context.Context, u *pb.SiteUpstream, term upstream.Term) (UpstreamStatus, error)
+	// Pause makes a replica receive nothing more, until Resume, a promotion or its
+	// restart, and returns its status after that. The term is above every term that an
+	// upstream of the group has led.
+	Pause(ctx context.Context, u *pb.SiteUpstream, term upstream.Term) (UpstreamStatus, error)
+	// Resume ends a pause.
+	Resume(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error)
 }
 
 // BusyUpstream reports an upstream that is alive but has no free slot.
@@ -55,6 +62,12 @@
 
 func (e *BusyUpstream) Error() string { return "upstream " + e.ID + " has no free slot" }
 
+// CommandRefused reports an upstream that answered a command of a control host with an
+// error.
+type CommandRefused struct{ ID, Command string }
+
+func (e *CommandRefused) Error() string { return "upstream " + e.ID + " refused " + e.Command }
+
 // NotPrimary reports an upstream that answered that it is not a primary.
 type NotPrimary struct{ ID string }
 
--- /dev/null
+++ b/sitecontrol/successor.go
@@ -0,0 +1,331 @@
+package sitecontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/internal/pause"
+	"lovageslip/upstream"
+)
+
+// A group whose configuration names synchronous replicas acknowledges a commit once
+// that many replicas have received it. The primary and those replicas hold it, so it is
+// held by at least one of any set of upstreams that leaves out no more than that many.
+// A successor is therefore chosen by position alone, from such a set, after every
+// replica in it has been told to receive nothing more.
+
+const (
+	// lostMemberAge is how long an upstream must have announced nothing while the
+	// primary still answered, to be taken for one that does not come back and holds no
+	// commit that others lack. It is longer than the cuts and freezes that sites state.
+	lostMemberAge = 30 * time.Second
+	// endedMemberAge is how long an upstream that has ended counts as one that may hold
+	// a commit, unless its successor, which has its log, announces itself at its address.
+	endedMemberAge = 30 * time.Second
+	// successorLogInterval is the least time between two log lines on a change of
+	// primary that has to wait.
+	successorLogInterval = time.Second
+)
+
+// SuccessorUnproven reports a group of which too few upstreams tell their position to
+// find one that holds every acknowledged commit.
+type SuccessorUnproven struct {
+	Group string
+	// Silent are the upstreams that may hold a commit and did not tell their position.
+	Silent []string
+	// Allowed is how many may be silent.
+	Allowed uint32
+}
+
+func (e *SuccessorUnproven) Error() string {
+	return fmt.Sprintf("group %s: positions of %s are not known, at most %d may be missing", e.Group, strings.Join(e.Silent, ", "), e.Allowed)
+}
+
+// NoSuccessor reports a group of which no upstream can take over as the primary now.
+type NoSuccessor struct{ Group string }
+
+func (e *NoSuccessor) Error() string {
+	return "group " + e.Group + " has no upstream that could take over"
+}
+
+// chooseSuccessor returns the upstream that holds every commit that the group has
+// acknowledged, or *SuccessorUnproven if the answers do not tell. silent are the
+// upstreams that were not asked. Of several with the same position it prefers those
+// that stay, and then replicas.
+func chooseSuccessor(group string, answers []probeResult, silent []string, syncReplicas uint32) (*probeResult, error) {
+	var best *probeResult
+	silent = slices.Clone(silent)
+	for _, p := range answers {
+		switch {
+		case p.err != nil:
+			silent = append(silent, p.upstream.Id)
+		case best == nil || betterHolder(p, *best):
+			best = &p
+		}
+	}
+	if best == nil || uint32(len(silent)) > syncReplicas {
+		slices.Sort(silent)
+		return nil, &SuccessorUnproven{Group: group, Silent: silent, Allowed: syncReplicas}
+	}
+	return best, nil
+}
+
+func betterHolder(p, q probeResult) bool {
+	switch {
+	case p.status.Received != q.status.Received:
+		return q.status.Received.Before(p.status.Received)
+	case p.upstream.Leaving != q.upstream.Leaving:
+		return q.upstream.Leaving
+	default:
+		return p.status.Role != upstream.RolePrimary && q.status.Role == upstream.RolePrimary
+	}
+}
+
+// memberLog is what the leader remembers of the upstreams of one group, to know which
+// may hold an acknowledged commit although they have no record any more.
+type memberLog struct {
+	// addresses holds the address of each recorded upstream, by id.
+	addresses map[string]string
+	// ended holds the upstreams whose records were removed.
+	ended map[string]endedMember
+}
+
+type endedMember struct {
+	address string
+	at      time.Time
+}
+
+// update takes the group's recorded upstreams at a moment.
+func (l *memberLog) update(recorded []*pb.SiteUpstream, at time.Time) {
+	if l.ended == nil {
+		l.ended = make(map[string]endedMember)
+	}
+	current := make(map[string]string, len(recorded))
+	for _, u := range recorded {
+		current[u.Id] = u.Address
+	}
+	for id, address := range l.addresses {
+		if _, ok := current[id]; !ok {
+			l.ended[id] = endedMember{address: address, at: at}
+		}
+	}
+	l.addresses = current
+	for id, e := range l.ended {
+		succeeded := slices.ContainsFunc(recorded, func(u *pb.SiteUpstream) bool { return u.Address == e.address })
+		if succeeded || at.Sub(e.at) >= endedMemberAge {
+			delete(l.ended, id)
+		}
+	}
+}
+
+func (l *memberLog) endedIDs() []string {
+	var ids []string
+	for id := range l.ended {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// survey asks the upstreams of the group for their positions and chooses the one that
+// holds every acknowledged commit. It leaves out those that were lost long before the
+// primary was. A primary that did not answer before is asked only if the others do not
+// suffice. Its error is *SuccessorUnproven.
+func (w *groupWatch) survey(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, ask askFunc) (*probeResult, []probeResult, error) {
+	silent := w.members.endedIDs()
+	members := slices.Clone(others)
+	if primary != nil && w.unavailableSince.IsZero() {
+		members = append(members, primary)
+	}
+	answers := w.askAll(ctx, members, ask)
+	answers = slices.DeleteFunc(answers, func(p probeResult) bool {
+		return p.err != nil && w.lostLongAgo(p.upstream)
+	})
+	if primary == nil || w.unavailableSince.IsZero() {
+		best, err := chooseSuccessor(w.group, answers, silent, w.syncReplicas)
+		return best, answers, err
+	}
+	best, err := chooseSuccessor(w.group, answers, append(silent, primary.Id), w.syncReplicas)
+	if err != nil {
+		answers = append(answers, w.askAll(ctx, []*pb.SiteUpstream{primary}, ask)...)
+		best, err = chooseSuccessor(w.group, answers, silent, w.syncReplicas)
+	}
+	return best, answers, err
+}
+
+// lostLongAgo reports whether an upstream had announced nothing for lostMemberAge when
+// the primary last answered.
+func (w *groupWatch) lostLongAgo(u *pb.SiteUpstream) bool {
+	at := w.unavailableSince
+	if at.IsZero() {
+		at = now()
+	}
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	last, ok := w.server.announcements[u.Id]
+	return ok && at.Sub(last.receivedAt) >= lostMemberAge
+}
+
+// replaceProven changes the primary of a group with synchronous replicas.
+func (w *groupWatch) replaceProven(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState, reason string) {
+	if primary.GetLeaving() {
+		status, err := w.probe(ctx, primary)
+		var busy *BusyUpstream
+		switch {
+		case errors.As(err, &busy):
+			return // asked again in the next step
+		case err == nil && status.Role == upstream.RolePrimary:
+			w.unavailableSince = time.Time{}
+			w.replaceLeaving(ctx, primary, others, g, status.Received, reason)
+			return
+		case w.unavailableSince.IsZero():
+			w.unavailableSince = now()
+		}
+	}
+	_, answers, err := w.survey(ctx, primary, others, w.probe)
+	if err == nil {
+		// The primary itself may hold commits that are not acknowledged yet. It
+		// steps down before its successor is confirmed.
+		best, choiceErr := chooseSuccessor(w.group, slices.DeleteFunc(slices.Clone(answers), func(p probeResult) bool {
+			return p.err != nil || p.upstream.Id == primary.GetId()
+		}), nil, w.syncReplicas)
+		if choiceErr == nil {
+			w.order(ctx, primary, best, g, reason, answers)
+			return
+		}
+		err = choiceErr
+	}
+	w.postpone(reason, err, answers)
+}
+
+// replaceLeaving replaces a primary that leaves and still serves. It waits until a
+// replica that stays has received what the primary held, and otherwise leaves the
+// primary in place: a successor that does not keep up would hold up each commit.
+func (w *groupWatch) replaceLeaving(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState, held upstream.Position, reason string) {
+	staying := slices.DeleteFunc(slices.Clone(others), (*pb.SiteUpstream).GetLeaving)
+	waiting, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for {
+		answers := w.askAll(waiting, staying, w.probe)
+		for _, p := range answers {
+			if p.err == nil && !p.status.Received.Before(held) {
+				w.order(ctx, primary, &p, g, reason, answers)
+				return
+			}
+		}
+		if !pause.For(waiting, catchUpInterval) {
+			w.postpone(reason, &NoSuccessor{Group: w.group}, answers)
+			return
+		}
+	}
+}
+
+// postpone logs that a change of primary has to wait.
+func (w *groupWatch) postpone(reason string, err error, answers []probeResult) {
+	w.server.metrics.Counter("changes_postponed_total").Inc(1)
+	if now().Sub(w.postponeLoggedAt) < successorLogInterval {
+		return
+	}
+	w.postponeLoggedAt = now()
+	w.server.log.Warn("change of the primary waits until an upstream is known to hold all acknowledged commits", "group", w.group,
+		"reason", reason, "error", err, "candidates", describe(answers))
+}
+
+// deliver sends a logged order to the platform. In a group with synchronous replicas it
+// first makes sure that the ordered upstream holds every acknowledged commit, and logs
+// an order for the one that does if that is another.
+func (w *groupWatch) deliver(ctx context.Context, id string, token uint64) {
+	if w.syncReplicas > 0 {
+		successor, err := w.confirmSuccessor(ctx, id)
+		if err != nil {
+			return
+		}
+		if successor != id {
+			previous := token
+			var ok bool
+			token, ok = w.logOrder(ctx, successor, previous)
+			w.server.log.Info("leader replaced an order by one for the upstream that holds all acknowledged commits", "group", w.group,
+				"from", id, "to", successor, "previous_token", previous, "token", token, "logged", ok)
+			if !ok {
+				return
+			}
+			id = successor
+		}
+	}
+	w.sendOrder(ctx, id, token)
+}
+
+// confirmSuccessor pauses the group's replicas, so that no further commit can be
+// acknowledged, and returns an upstream that then holds all, the ordered one if it does.
+// The order must have been logged before, because its promotion is what ends the pause
+// even if another host leads by then. If too few answer, the replicas are released
+// again, unless the order was sent before and may be carried out.
+func (w *groupWatch) confirmSuccessor(ctx context.Context, ordered string) (id string, err error) {
+	primary, others, _ := w.upstreams()
+	_, answers, err := w.survey(ctx, primary, others, w.probe)
+	if err == nil {
+		var best *probeResult
+		best, answers, err = w.survey(ctx, primary, others, w.pauseReplicas(answers))
+		if err == nil {
+			holdsAll := slices.ContainsFunc(answers, func(p probeResult) bool {
+				return p.upstream.Id == ordered && p.err == nil && !p.status.Received.Before(best.status.Received)
+			})
+			if holdsAll {
+				return ordered, nil
+			}
+			return best.upstream.Id, nil
+		}
+		if !w.orderSent {
+			w.resume(ctx, others)
+		}
+	}
+	w.postpone("order cannot be confirmed", err, answers)
+	return "", err
+}
+
+// pauseReplicas returns a call that pauses a replica, in a term above those of the given
+// answers. A primary, or an upstream that refuses to pause, is asked for its status.
+func (w *groupWatch) pauseReplicas(answers []probeResult) askFunc {
+	var newest upstream.Term
+	primaries := make(map[string]bool)
+	for _, p := range answers {
+		newest = max(newest, p.status.Received.Term)
+		primaries[p.upstream.Id] = p.err == nil && p.status.Role == upstream.RolePrimary
+	}
+	return func(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
+		if primaries[u.Id] {
+			return w.probe(ctx, u)
+		}
+		pausing, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		status, err := w.server.options.Prober.Pause(pausing, u, newest+1)
+		var refused *CommandRefused
+		if !errors.As(err, &refused) {
+			return status, err
+		}
+		w.server.metrics.Counter("pauses_refused_total").Inc(1)
+		w.server.log.Warn("upstream refused to pause; it may receive more than it reports", "group", w.group, "upstream", u.Id, "error", err)
+		return w.probe(ctx, u)
+	}
+}
+
+// resumeOthers lets all upstreams but the new primary receive again.
+func (w *groupWatch) resumeOthers(ctx context.Context, primary *pb.SiteUpstream) {
+	recorded := w.server.topology().upstreams[w.group]
+	w.resume(ctx, slices.DeleteFunc(slices.Clone(recorded), func(u *pb.SiteUpstream) bool { return u.Id == primary.Id }))
+}
+
+// resume lets replicas receive again. A replica that does not answer is released by the
+// next promotion or its restart.
+func (w *groupWatch) resume(ctx context.Context, replicas []*pb.SiteUpstream) {
+	answers := w.askAll(ctx, replicas, func(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		return w.server.options.Prober.Resume(ctx, u)
+	})
+	w.server.log.Info("replicas were told to receive again", "group", w.group, "replicas", describe(answers))
+}
--- /dev/null
+++ b/sitecontrol/successor_test.go
@@ -0,0 +1,183 @@
+package sitecontrol
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lovageslip/fault"
+	pb "lovageslip/gen/lovageslip/v1"
+	"lovageslip/upstream"
+)
+
+// startSyncGroup starts a control host and announces the upstreams p (the primary), r1
+// and r2 of a group whose commits one replica holds before they are acknowledged. r2
+// holds all, and r1 lacks some.
+func startSyncGroup(t *testing.T) (*testHost, *fakeUpstreams) {
+	t.Helper()
+	fake := newFakeUpstreams()
+	h := startCluster(t, 1, fake)[0]
+	config := &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g", MaxConnections: 10, SyncReplicas: 1}}}
+	waitFor(t, "configuration stored", func() bool {
+		return h.server.StoreConfig(context.Background(), config, []byte("one")) == nil
+	})
+	announceGroup(t, h, fake)
+	fake.edit(func() { fake.received["r2"] = 30 })
+	return h, fake
+}
+
+func announceLeaving(t *testing.T, h *testHost, id string, sequence uint64) {
+	t.Helper()
+	leaving := newAnnouncement(id, id == "p", 100, sequence)
+	leaving.Leaving = true
+	announce(t, h, leaving)
+}
+
+// Guards against an acknowledged commit that is lost because the replica that holds it
+// leaves, and one that lacks it is promoted.
+func TestLeavingReplicaThatHoldsAllCommitsIsPromoted(t *testing.T) {
+	h, fake := startSyncGroup(t)
+	announceLeaving(t, h, "r2", 2)
+	fake.edit(func() { fake.dead["p"] = true })
+	waitFor(t, "another primary", func() bool {
+		reportUnreachable(h, "p")
+		return primaryOf(h, "g") != "p"
+	})
+	assert.Equal(t, primaryOf(h, "g"), "r2")
+	assert.Equal(t, len(fake.paused), 0, "replicas that stay paused: %v", fake.paused)
+}
+
+// Guards against an acknowledged commit that is lost because the replica that holds it
+// is busy or does not answer for a moment, and another one is promoted.
+func TestPromotionWaitsForAReplicaThatMayHoldACommit(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state func(*fakeUpstreams) map[string]bool
+	}{
+		{"busy", func(f *fakeUpstreams) map[string]bool { return f.busy }},
+		{"silent", func(f *fakeUpstreams) map[string]bool { return f.dead }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, fake := startSyncGroup(t)
+			fake.edit(func() {
+				fake.dead["p"] = true
+				c.state(fake)["r2"] = true
+			})
+			lost := time.Now()
+			waitFor(t, "several chances to promote r1", func() bool {
+				reportUnreachable(h, "p")
+				return time.Since(lost) > 3*primaryLossTimeout
+			})
+			assert.Equal(t, len(fake.receivedOrders()), 0)
+			fake.edit(func() { c.state(fake)["r2"] = false })
+			waitFor(t, "another primary", func() bool {
+				reportUnreachable(h, "p")
+				return primaryOf(h, "g") != "p"
+			})
+			assert.Equal(t, primaryOf(h, "g"), "r2")
+		})
+	}
+}
+
+// Guards against a commit that is acknowledged after the successor was chosen, by a
+// primary that only the control hosts and most proxies cannot reach.
+func TestCommitDuringAChangeOfPrimaryIsKept(t *testing.T) {
+	h, fake := startSyncGroup(t)
+	fake.edit(func() {
+		fake.received["r1"] = 30
+		fake.received["r2"] = 29
+		fake.dead["p"] = true
+		fake.onPause = func() { fake.received["r2"] = 31 }
+	})
+	waitFor(t, "another primary", func() bool {
+		reportUnreachable(h, "p")
+		return primaryOf(h, "g") != "p"
+	})
+	assert.Equal(t, primaryOf(h, "g"), "r2")
+	for _, o := range fake.receivedOrders() {
+		assert.Equal(t, o.id, "r2", "%v", fake.receivedOrders())
+	}
+}
+
+// Guards against a planned change of primary that loses commits, because the successor
+// receives nothing and the change goes on without it after a while.
+func TestLeavingPrimaryServesUntilASuccessorKeepsUp(t *testing.T) {
+	h, fake := startSyncGroup(t)
+	announceLeaving(t, h, "r2", 2)
+	announceLeaving(t, h, "p", 2)
+	left := time.Now()
+	waitFor(t, "several chances to promote r1", func() bool { return time.Since(left) > 3*catchUpTimeout })
+	assert.Equal(t, len(fake.receivedOrders()), 0)
+	assert.Equal(t, len(fake.steppedDown), 0)
+	fake.edit(func() { fake.received["r1"] = 30 })
+	waitFor(t, "another primary", func() bool { return primaryOf(h, "g") == "r1" })
+	assert.Assert(t, !fake.commitsLost)
+}
+
+// Guards against a group that stays without a primary because of a replica that was
+// lost long before.
+func TestReplicaThatWasLostLongAgoHoldsUpNoChange(t *testing.T) {
+	h, fake := startSyncGroup(t)
+	fake.edit(func() {
+		fake.received["r1"] = 30
+		fake.dead["p"], fake.dead["r2"] = true, true
+	})
+	h.server.mu.Lock()
+	last := h.server.announcements["r2"]
+	last.receivedAt = now().Add(-lostMemberAge)
+	h.server.announcements["r2"] = last
+	h.server.mu.Unlock()
+	waitFor(t, "another primary", func() bool {
+		reportUnreachable(h, "p")
+		return primaryOf(h, "g") == "r1"
+	})
+}
+
+// Guards against a choice from too few upstreams, and against one by anything but the
+// position.
+func TestSuccessorHoldsEveryAcknowledgedCommit(t *testing.T) {
+	at := func(id string, offset upstream.Offset, leaving bool) probeResult {
+		return probeResult{upstream: &pb.SiteUpstream{Id: id, Leaving: leaving}, status: UpstreamStatus{Received: upstream.Position{Term: 1, Offset: offset}}}
+	}
+	silent := probeResult{upstream: &pb.SiteUpstream{Id: "s"}, err: &fault.IO{Op: "dial", Err: context.DeadlineExceeded}}
+	for _, c := range []struct {
+		name    string
+		answers []probeResult
+		silent  []string
+		sync    uint32
+		chosen  string // empty if the answers do not tell
+	}{
+		{"the leaving one holds more", []probeResult{at("a", 5, false), at("b", 6, true)}, []string{"p"}, 1, "b"},
+		{"both hold all", []probeResult{at("b", 6, true), at("a", 6, false)}, []string{"p"}, 1, "a"},
+		{"one besides the primary is silent", []probeResult{at("a", 5, false), silent}, []string{"p"}, 1, ""},
+		{"the same with two synchronous replicas", []probeResult{at("a", 5, false), silent}, []string{"p"}, 2, "a"},
+		{"one has ended and the primary answers", []probeResult{at("a", 6, false), at("p", 6, true)}, []string{"b"}, 1, "a"},
+		{"nobody answers", []probeResult{silent}, nil, 1, ""},
+	} {
+		best, err := chooseSuccessor("g", c.answers, c.silent, c.sync)
+		if c.chosen == "" {
+			assert.ErrorType(t, err, &SuccessorUnproven{}, c.name)
+			continue
+		}
+		assert.NilError(t, err, c.name)
+		assert.Equal(t, best.upstream.Id, c.chosen, c.name)
+	}
+}
+
+// Guards against a replica whose process has ended and whose log its successor does not
+// have yet, and that no longer counts among those that may hold a commit.
+func TestEndedMemberCountsUntilItsSuccessorAnnouncesItself(t *testing.T) {
+	a, b := &pb.SiteUpstream{Id: "a", Address: "x"}, &pb.SiteUpstream{Id: "b", Address: "y"}
+	var l memberLog
+	start := now()
+	l.update([]*pb.SiteUpstream{a, b}, start)
+	l.update([]*pb.SiteUpstream{a}, start)
+	assert.DeepEqual(t, l.endedIDs(), []string{"b"})
+	l.update([]*pb.SiteUpstream{a, {Id: "c", Address: "y"}}, start)
+	assert.Equal(t, len(l.endedIDs()), 0)
+	l.update([]*pb.SiteUpstream{a}, start)
+	l.update([]*pb.SiteUpstream{a}, start.Add(endedMemberAge))
+	assert.Equal(t, len(l.endedIDs()), 0)
+}
