Entries that name no upstream are refused wherever they come in

Proxies and control hosts send the id as a word of the line STARTUP, so a line end in it would have begun a second line. Leaders took such entries for upstreams that may hold the newest commit or take over.

Cause: the decoder looked only at the fields that are used, and nothing checked a record that came by another way.

Tests changed: records in tests of site, sitewatch and sitecontrol got real addresses and groups; what they check is the same.

--- a/site/state.go
+++ b/site/state.go
@@ -116,7 +116,7 @@
 }
 
 func recordUpstream(state *pb.SiteState, u *pb.SiteUpstream) bool {
-	if u == nil || wasRemoved(state, u) || !evictAddress(state, u) {
+	if CheckUpstream(u) != nil || wasRemoved(state, u) || !evictAddress(state, u) {
 		return false
 	}
 	i := slices.IndexFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == u.Id })
@@ -253,7 +253,8 @@
 	return proto.Marshal(&pb.SiteSnapshot{State: state, Index: index})
 }
 
-// Restore implements consensus.StateMachine.
+// Restore implements consensus.StateMachine. Records that CheckUpstream refuses are left
+// out: an earlier version may have stored them.
 func (s *State) Restore(data []byte) error {
 	var snapshot pb.SiteSnapshot
 	if err := proto.Unmarshal(data, &snapshot); err != nil {
@@ -263,6 +264,7 @@
 	if state == nil {
 		state = &pb.SiteState{}
 	}
+	state.Upstreams = UsableUpstreams(state.Upstreams)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replaceLocked(state, snapshot.Index)
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -40,7 +41,7 @@
 
 func (l *testLog) record(id, address string, born int64, sequence uint64) bool {
 	return l.apply(&pb.SiteCommand{Command: &pb.SiteCommand_RecordUpstream{
-		RecordUpstream: &pb.SiteUpstream{Id: id, Address: address, BornMs: born, Sequence: sequence},
+		RecordUpstream: &pb.SiteUpstream{Id: id, Group: "g", Address: address, BornMs: born, Sequence: sequence},
 	}})
 }
 
@@ -160,3 +161,28 @@
 	}
 	assert.Equal(t, len(l.current().Removed), maxRemoved)
 }
+
+// Guards against a record that names no upstream and comes in by another way than an
+// announcement: from a log or a snapshot of an earlier version, or in an update.
+func TestRecordsThatNameNoUpstreamAreLeftOut(t *testing.T) {
+	good := &pb.SiteUpstream{Id: "a", Group: "g", Address: "10.0.0.1:1"}
+	odd := []*pb.SiteUpstream{
+		{Id: "b", Group: "g", Address: "10.0.0.2:0"},
+		{Id: "b c", Group: "g", Address: "10.0.0.2:1"},
+		{Id: "b", Group: "g\r\n", Address: "10.0.0.2:1"},
+		{Id: "b", Group: "g", Address: "10.0.0.2:01"},
+		{Id: "b", Group: "g", Address: "[::ffff:10.0.0.2]:1"},
+		{Id: "b", Group: "g", Address: "10.0.0.2:1", BornMs: -1},
+		{Id: "b", Group: "g", Address: "10.0.0.2:1", Slots: math.MaxUint32},
+		{},
+	}
+	l := newTestLog(t)
+	assert.Assert(t, l.apply(recordCommand(good)))
+	for _, u := range odd {
+		assert.Assert(t, !l.apply(recordCommand(u)), "%v was recorded", u)
+	}
+	snapshot, err := proto.Marshal(&pb.SiteSnapshot{State: &pb.SiteState{Upstreams: append(odd, good)}, Index: 9})
+	assert.NilError(t, err)
+	assert.NilError(t, l.state.Restore(snapshot))
+	assert.Assert(t, len(l.current().Upstreams) == 1 && proto.Equal(l.current().Upstreams[0], good))
+}
--- a/site/topology_test.go
+++ b/site/topology_test.go
@@ -34,7 +34,7 @@
 			group := fmt.Sprintf("g%d", rapid.IntRange(0, 3).Draw(rt, "group"))
 			switch rapid.IntRange(0, 4).Draw(rt, "step") {
 			case 0, 1:
-				log.apply(recordCommand(&pb.SiteUpstream{Id: id, Group: group, Address: rapid.SampledFrom([]string{"a1", "a2", id}).Draw(rt, "address"),
+				log.apply(recordCommand(&pb.SiteUpstream{Id: id, Group: group, Address: rapid.SampledFrom([]string{"10.0.0.1:1", "10.0.0.1:2", "10.0.0.2:1" + id[1:]}).Draw(rt, "address"),
 					BornMs: rapid.Int64Range(1, 5).Draw(rt, "born"), Sequence: log.index}))
 			case 2:
 				born := rapid.Int64Range(1, 5).Draw(rt, "born")
--- a/sitecontrol/announce.go
+++ b/sitecontrol/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -49,7 +50,12 @@
 	if _, leads := s.options.Consensus.Leadership(); !leads {
 		return nil, unavailable(noLeader())
 	}
-	if err := s.handleAnnouncement(ctx, r.Msg.Upstream, r.Msg.Ended); err != nil {
+	err := s.handleAnnouncement(ctx, r.Msg.Upstream, r.Msg.Ended)
+	var invalid *fault.Invalid
+	switch {
+	case errors.As(err, &invalid):
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	case err != nil:
 		return nil, unavailable(err)
 	}
 	return connect.NewResponse(&pb.AnnounceUpstreamResponse{}), nil
@@ -57,7 +63,10 @@
 
 func (s *Server) handleAnnouncement(ctx context.Context, u *pb.SiteUpstream, ended bool) error {
 	if ended {
-		return s.handleRemoval(ctx, u.Id)
+		return s.handleRemoval(ctx, u.GetId())
+	}
+	if err := site.CheckUpstream(u); err != nil {
+		return err
 	}
 	state, _, _ := s.options.State.Current()
 	record := site.Upstream(state, u.Id)
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"os"
 	"slices"
 	"strings"
@@ -126,7 +127,8 @@
 }
 
 func newAnnouncement(id string, primary bool, born int64, sequence uint64) *pb.SiteUpstream {
-	return &pb.SiteUpstream{Id: id, Group: "g", Address: "10.0.0.1:" + id, Slots: 3, Primary: primary, BornMs: born, Sequence: sequence}
+	port := 1 + crc32.ChecksumIEEE([]byte(id))%60000 // one for each id
+	return &pb.SiteUpstream{Id: id, Group: "g", Address: fmt.Sprintf("10.0.0.1:%d", port), Slots: 3, Primary: primary, BornMs: born, Sequence: sequence}
 }
 
 // Guards against a delayed announcement that replaces a newer one of the same
--- a/sitewatch/confirm_test.go
+++ b/sitewatch/confirm_test.go
@@ -74,10 +74,10 @@
 	begunAt := bootclock.Now()
 	config := &pb.SiteConfig{Version: 1, Groups: []*pb.SiteGroup{{Name: "g"}}}
 	current := startFakeControlHost(t, &fakeControlHost{state: &pb.SiteUpdate{
-		Index: 6, Config: config, Topology: true, Upstreams: []*pb.SiteUpstream{{Id: "a", Group: "g", Leaving: true}},
+		Index: 6, Config: config, Topology: true, Upstreams: []*pb.SiteUpstream{newUpstream("a", 0, true)},
 	}})
 	lagging := startFakeControlHost(t, &fakeControlHost{confirmedAt: begunAt, state: &pb.SiteUpdate{
-		Index: 5, Config: config, Topology: true, Upstreams: []*pb.SiteUpstream{{Id: "a", Group: "g"}}, ControlHosts: []string{current},
+		Index: 5, Config: config, Topology: true, Upstreams: []*pb.SiteUpstream{newUpstream("a", 0, false)}, ControlHosts: []string{current},
 	}})
 	w := New(Options{
 		Name: "p1", Seeds: func() []string { return []string{lagging} }, HTTPClient: tlsconf.HTTPClient(nil), Log: slog.New(slog.DiscardHandler),
--- a/sitewatch/sitewatch.go
+++ b/sitewatch/sitewatch.go
@@ -309,6 +309,11 @@
 		w.parts.Config = u.Config
 	}
 	if u.Topology {
+		if usable := site.UsableUpstreams(u.Upstreams); len(usable) < len(u.Upstreams) {
+			w.metrics.Counter("records_refused_total").Inc(int64(len(u.Upstreams) - len(usable)))
+			w.log.Warn("update of a control host has records that name no upstream", "from", address, "refused", len(u.Upstreams)-len(usable))
+			u.Upstreams = usable
+		}
 		upstreams, groups := site.ApplyTopology(w.parts.Upstreams, w.parts.Groups, u)
 		w.parts.LeavingNotBefore = leavingNotBefore(w.parts, upstreams, w.currentAt)
 		w.parts.Upstreams, w.parts.Groups = upstreams, groups
--- a/sitewatch/sitewatch_test.go
+++ b/sitewatch/sitewatch_test.go
@@ -47,6 +47,10 @@
 	assert.Check(t, attempts <= 16, "%d attempts in 10 s", attempts)
 }
 
+func newUpstream(id string, born int64, leaving bool) *pb.SiteUpstream {
+	return &pb.SiteUpstream{Id: id, Group: "g", Address: "10.0.0.1:80", BornMs: born, Leaving: leaving}
+}
+
 // viewRecorder is a Proxy that keeps the newest view.
 type viewRecorder struct{ view *site.View }
 
@@ -63,7 +67,7 @@
 		t.Helper()
 		assert.Assert(t, w.applyUpdate("c1", &pb.SiteUpdate{Index: index, Topology: true, Upstreams: upstreams}, p))
 	}
-	staying, leaving := &pb.SiteUpstream{Id: "a", BornMs: 1}, &pb.SiteUpstream{Id: "a", BornMs: 1, Leaving: true}
+	staying, leaving := newUpstream("a", 1, false), newUpstream("a", 1, true)
 	update(5, staying)
 	w.confirm(confirmation{5, at(1)})
 	w.confirm(confirmation{6, at(2)}) // has a change that the view lacks
@@ -76,7 +80,7 @@
 	assert.Equal(t, p.view.LeavingNotBefore("a"), at(1))
 
 	// A process that was never seen staying may have left long ago.
-	update(9, &pb.SiteUpstream{Id: "a", BornMs: 2, Leaving: true}, &pb.SiteUpstream{Id: "b", Leaving: true})
+	update(9, newUpstream("a", 2, true), newUpstream("b", 0, true))
 	assert.Assert(t, p.view.LeavingNotBefore("a").IsZero())
 	assert.Assert(t, p.view.LeavingNotBefore("b").IsZero())
 
