A record of a group that the configuration does not name changes no other record

What callers saw: writes stop while another writer sends entries with ids of its own, an unknown service and the addresses of living servers.

Cause: recording an entry evicted whichever upstream held its address and had started earlier, whatever group the entry named; the upstream's own announcements were then ignored as those of an ended process. The same held for an entry under its id, in the state and in the leader's memory of announcements. And an entry was checked against the record of its own id only after it had evicted others.

Change: such records stand beside the others and are kept, bounded, for a configuration that names their group. Then the youngest process keeps an address. Announcements are compared by site.Replaces everywhere. The check of the own id comes first.

Ruled out: the decoder (the entries are whole) and the proxies (they follow the list they are sent).

--- a/site/state.go
+++ b/site/state.go
@@ -101,7 +101,9 @@
 	if c.GetConfig() == nil || (state.Config != nil && c.Config.Version <= state.Config.Version) {
 		return false
 	}
+	before := state.Config
 	state.Config, state.Document = c.Config, c.Document
+	settleAddresses(state, before)
 	return true
 }
 
@@ -115,38 +117,128 @@
 	return u.Sequence > record.Sequence
 }
 
+// Replaces reports whether the announcement u takes the place of a record of the same
+// upstream. One of a group that the configuration names always replaces one of a group
+// that it doesn't, and never the other way round: another writer may have sent the latter.
+func Replaces(config *pb.SiteConfig, u, record *pb.SiteUpstream) bool {
+	if u.Group != record.Group {
+		if named := namesGroup(config, u.Group); named != namesGroup(config, record.Group) {
+			return named
+		}
+	}
+	return Supersedes(u, record)
+}
+
+func namesGroup(config *pb.SiteConfig, group string) bool {
+	return slices.ContainsFunc(config.GetGroups(), func(g *pb.SiteGroup) bool { return g.Name == group })
+}
+
+func groupNames(config *pb.SiteConfig) map[string]bool {
+	names := make(map[string]bool, len(config.GetGroups()))
+	for _, g := range config.GetGroups() {
+		names[g.Name] = true
+	}
+	return names
+}
+
+// maxUnnamed bounds the records of groups that the configuration doesn't name. It is three
+// times the upstreams of a site at the size of docs/CAPACITY.md, which all announce
+// themselves before the first configuration.
+const maxUnnamed = 8192
+
 func recordUpstream(state *pb.SiteState, u *pb.SiteUpstream) bool {
-	if CheckUpstream(u) != nil || wasRemoved(state, u) || !evictAddress(state, u) {
+	if CheckUpstream(u) != nil || wasRemoved(state, u) {
 		return false
 	}
-	i := slices.IndexFunc(state.Upstreams, func(r *pb.SiteUpstream) bool { return r.Id == u.Id })
-	if i < 0 {
-		state.Upstreams = append(state.Upstreams, u)
-		return true
+	sameID := func(r *pb.SiteUpstream) bool { return r.Id == u.Id }
+	i := slices.IndexFunc(state.Upstreams, sameID)
+	if i >= 0 && !Replaces(state.Config, u, state.Upstreams[i]) {
+		return false
 	}
-	if !Supersedes(u, state.Upstreams[i]) {
+	count := len(state.Upstreams)
+	if !evictAddress(state, u, true) {
 		return false
 	}
-	state.Upstreams[i] = u
+	if i >= 0 && len(state.Upstreams) < count {
+		i = slices.IndexFunc(state.Upstreams, sameID)
+	}
+	if i >= 0 {
+		state.Upstreams[i] = u
+		return true
+	}
+	state.Upstreams = append(state.Upstreams, u)
+	if !namesGroup(state.Config, u.Group) {
+		dropSurplusUnnamed(state)
+	}
 	return true
 }
 
-// evictAddress removes the upstreams whose older processes had the address of u.
-// It reports false if a younger process has the address, so that the process
-// that announced u must have ended.
-func evictAddress(state *pb.SiteState, u *pb.SiteUpstream) bool {
-	for _, r := range slices.Clone(state.Upstreams) {
+// dropSurplusUnnamed drops the oldest records of groups that the configuration doesn't
+// name, down to maxUnnamed. A server that runs announces itself again.
+func dropSurplusUnnamed(state *pb.SiteState) {
+	if len(state.Upstreams) <= maxUnnamed {
+		return
+	}
+	named := groupNames(state.Config)
+	surplus := -maxUnnamed
+	for _, u := range state.Upstreams {
+		if !named[u.Group] {
+			surplus++
+		}
+	}
+	state.Upstreams = slices.DeleteFunc(state.Upstreams, func(u *pb.SiteUpstream) bool {
+		drop := surplus > 0 && !named[u.Group]
+		if drop {
+			surplus--
+		}
+		return drop
+	})
+}
+
+// evictAddress removes the upstreams whose older processes had the address of u; ties
+// says whether those that started in the same millisecond count as older. It reports
+// false if a younger process has the address, so that the process that announced u must
+// have ended. A record of a group that the configuration doesn't name has no say over
+// those of other groups, and they have none over it.
+func evictAddress(state *pb.SiteState, u *pb.SiteUpstream, ties bool) bool {
+	var evicted []*pb.SiteUpstream
+	for _, r := range state.Upstreams {
 		if r.Address != u.Address || r.Id == u.Id {
 			continue
 		}
-		if r.BornMs > u.BornMs {
+		if r.Group != u.Group && !(namesGroup(state.Config, u.Group) && namesGroup(state.Config, r.Group)) {
+			continue
+		}
+		if r.BornMs > u.BornMs || r.BornMs == u.BornMs && !ties {
 			return false
 		}
+		evicted = append(evicted, r)
+	}
+	for _, r := range evicted {
 		removeUpstream(state, &pb.RemoveSiteUpstream{Id: r.Id, BornMs: r.BornMs})
 	}
 	return true
 }
 
+// settleAddresses removes all but the youngest process at each address, once the
+// configuration names the groups of several. Of processes that started in the same
+// millisecond it keeps those whose groups were named before.
+func settleAddresses(state *pb.SiteState, before *pb.SiteConfig) {
+	named, namedBefore := groupNames(state.Config), groupNames(before)
+	holders := make(map[string]int, len(state.Upstreams))
+	for _, u := range state.Upstreams {
+		holders[u.Address]++
+	}
+	for _, u := range slices.Clone(state.Upstreams) {
+		if holders[u.Address] == 1 || !named[u.Group] || namedBefore[u.Group] || Upstream(state, u.Id) != u {
+			continue
+		}
+		if !evictAddress(state, u, false) {
+			removeUpstream(state, &pb.RemoveSiteUpstream{Id: u.Id, BornMs: u.BornMs})
+		}
+	}
+}
+
 // removeUpstream removes a process of an upstream and those before it. The process may
 // have no record, if its announcement comes later in the log than its removal.
 func removeUpstream(state *pb.SiteState, c *pb.RemoveSiteUpstream) bool {
--- a/sitecontrol/announce.go
+++ b/sitecontrol/announce.go
@@ -70,13 +70,13 @@
 	}
 	state, _, _ := s.options.State.Current()
 	record := site.Upstream(state, u.Id)
-	if record != nil && !site.Supersedes(u, record) {
-		s.log.Debug("announcement ignored: a newer one of the upstream is recorded", "upstream", u.Id, "sequence", u.Sequence)
+	if record != nil && !site.Replaces(state.Config, u, record) {
+		s.log.Debug("announcement ignored: the upstream has a record that it doesn't replace", "upstream", u.Id, "group", u.Group, "sequence", u.Sequence)
 		return nil
 	}
 	// If a newer one was received before, it may not be committed yet, or its
 	// commit may have failed. This one must not be acknowledged before that.
-	u = s.newestAnnouncement(u)
+	u = s.newestAnnouncement(state.Config, u)
 	if u == nil || record != nil && sameUpstream(u, record) {
 		return nil
 	}
@@ -95,12 +95,12 @@
 
 // newestAnnouncement returns the newest announcement that this host has received
 // from the upstream of u, which may be u itself, or nil if that process was removed.
-func (s *Server) newestAnnouncement(u *pb.SiteUpstream) *pb.SiteUpstream {
+func (s *Server) newestAnnouncement(config *pb.SiteConfig, u *pb.SiteUpstream) *pb.SiteUpstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, ok := s.announcements[u.Id]
 	switch {
-	case !ok || site.Supersedes(u, last.upstream):
+	case !ok || site.Replaces(config, u, last.upstream):
 	case last.removed:
 		return nil
 	default:
@@ -141,7 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, ok := s.announcements[id]
-	if !ok || last.removed || record != nil && !site.Supersedes(last.upstream, record) {
+	if !ok || last.removed || record != nil && !site.Replaces(state.Config, last.upstream, record) {
 		return record
 	}
 	return last.upstream
--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -135,7 +135,7 @@
 // process or of a later process under the same id.
 func TestLateAnnouncementsChangeNothing(t *testing.T) {
 	s := New(Options{Name: "c1", State: site.NewState()})
-	record := func(u *pb.SiteUpstream) bool { return s.newestAnnouncement(u) == u }
+	record := func(u *pb.SiteUpstream) bool { return s.newestAnnouncement(nil, u) == u }
 	assert.Assert(t, record(newAnnouncement("a", true, 100, 5)))
 	assert.Assert(t, !record(newAnnouncement("a", true, 100, 4)), "lower sequence")
 	assert.Assert(t, !record(newAnnouncement("a", true, 100, 5)), "same sequence")
@@ -196,7 +196,7 @@
 	server, ctx := hosts[0].server, context.Background()
 	for _, id := range []string{"first", "restarted"} {
 		delayed := newAnnouncement(id, false, 100, 1)
-		assert.Assert(t, server.newestAnnouncement(delayed) == delayed)
+		assert.Assert(t, server.newestAnnouncement(nil, delayed) == delayed)
 		assert.NilError(t, server.RemoveUpstream(ctx, id))
 		assert.NilError(t, server.recordUpstream(ctx, delayed))
 		state, _, _ := server.options.State.Current()
