A prepared statement is identified by its definition, not by a 64-bit hash

Cause: on upstream connections a prepared statement was named by the XXH64 of its shape, and a name that the connection knew was trusted for any definition. Relays passed the names of their proxies on, so that proxies shared them as well.

--- a/proxy/consistency_test.go
+++ b/proxy/consistency_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"lovageslip/site"
@@ -182,14 +184,61 @@
 		mustServe(t, first, execute("e1"))
 		mustServe(t, second, execute("e2"))
 	}
-	a := preparedStatement{readOnly: true, shape: "q1"}
-	b := preparedStatement{readOnly: true, shape: "q2"}
-	assert.Assert(t, a.upstreamName() != b.upstreamName())
+	assert.DeepEqual(t, f.group.executedShapes("e1"), []string{"q1", "q1", "q1"})
+	assert.DeepEqual(t, f.group.executedShapes("e2"), []string{"q2", "q2", "q2"})
 	do(t, first, &Statement{ID: "d", Kind: KindDeallocate, Name: "s"})
 	assert.Equal(t, do(t, first, execute("e3")).Refusal.Code, RefusedNoStatement)
 	mustServe(t, second, execute("e4"))
 }
 
+// sameXXHash are two shapes with the same XXH64 of seed 0.
+var sameXXHash = [2]string{
+	"54yDgyiK6RlcVgq8bc4HzQzLIR6q4ttI2uAL6sCF6RlcVgq8bc4HzQzLIR6q4ttI",
+	"3aodS87I6RlcVgq8bc4HzQzLIR6q4ttIqytpWc186RlcVgq8bc4HzQzLIR6q4ttI",
+}
+
+// Guards against a caller who chooses a shape that has the hash of another caller's, and
+// whose rows that other caller is given. Reads and writes of one shape differ as well.
+func TestPreparedShapesWithTheSameHashDoNotCollide(t *testing.T) {
+	assert.Equal(t, xxhash.Sum64String(sameXXHash[0]), xxhash.Sum64String(sameXXHash[1]))
+	f := newFixture(t)
+	sessions := []*Session{f.open("bounded"), f.open("bounded"), f.open("bounded")}
+	shapes := []string{sameXXHash[0], sameXXHash[1], sameXXHash[0]}
+	for i, s := range sessions {
+		do(t, s, &Statement{ID: "p", Kind: KindPrepare, Name: "s", Value: shapes[i], ReadOnly: i < 2})
+	}
+	for range 3 {
+		for i, s := range sessions {
+			mustServe(t, s, &Statement{ID: fmt.Sprintf("e%d", i), Kind: KindExecute, Name: "s", Value: "x"})
+		}
+	}
+	for i, shape := range shapes {
+		assert.DeepEqual(t, f.group.executedShapes(fmt.Sprintf("e%d", i)), []string{shape, shape, shape})
+	}
+}
+
+// Guards against a relay that runs the statement of one proxy under the name that another
+// proxy has given to its own.
+func TestRelayKeepsPreparedNamesOfProxiesApart(t *testing.T) {
+	f := newFixture(t)
+	run := func(r *RelayedConn, commands ...Command) []Answer {
+		answers, err := r.Run(context.Background(), Turn{MaxWait: time.Second}, time.Second, commands)
+		assert.NilError(t, err)
+		return answers
+	}
+	execute := func(id, name string) Command {
+		return Command{Kind: CommandForward, Name: name, Statement: &Statement{ID: id, Kind: KindExecute, Name: "s", Value: "x"}}
+	}
+	first, second := f.proxy.OpenRelayed("p1", "p1", 0), f.proxy.OpenRelayed("p1", "p1", 0)
+	for range 2 {
+		run(first, Command{Kind: CommandPrepare, Name: "n", Value: "q1", ReadOnly: true}, execute("e1", "n"))
+		run(second, Command{Kind: CommandPrepare, Name: "n", Value: "q2", ReadOnly: true}, execute("e2", "n"))
+	}
+	assert.DeepEqual(t, f.group.executedShapes("e1"), []string{"q1", "q1"})
+	assert.DeepEqual(t, f.group.executedShapes("e2"), []string{"q2", "q2"})
+	assert.Equal(t, run(first, execute("e3", "s1"))[0].Code, CodeNoStatement, "a name of the relay's own")
+}
+
 // Guards against a caller who sends nothing in an open transaction and so keeps a
 // connection for ever.
 func TestIdleTransactionExpires(t *testing.T) {
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -39,7 +39,7 @@
 // newConn returns an opened connection that is already counted.
 func (p *pool) newConn(opened Conn, t *poolTeam) *conn {
 	p.metrics.Counter("connections_opened_total").Inc(1)
-	return &conn{Conn: opened, pool: p, team: t, values: map[string]string{}, prepared: map[string]bool{}}
+	return &conn{Conn: opened, pool: p, team: t, values: map[string]string{}, prepared: map[definitionID]string{}}
 }
 
 // failAfterDialLocked ends the wait of all statements after a failed dial, so that
--- a/proxy/fake_test.go
+++ b/proxy/fake_test.go
@@ -41,6 +41,7 @@
 	refused  int                   // connections refused
 	values   []map[string]string   // session values of each read and write
 	onBegin  func(u *fakeUpstream) // called after each BEGIN
+	shapes   map[string][]string   // of the prepared statements that ran, by request id
 }
 
 type fakeConn struct {
@@ -158,6 +159,16 @@
 	return CodeNone
 }
 
+// executedShapes returns the shapes of the prepared statements that ran for a request id.
+func (g *fakeGroup) executedShapes(id string) (shapes []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range g.upstreams {
+		shapes = append(shapes, u.shapes[id]...)
+	}
+	return shapes
+}
+
 func (c *fakeConn) forward(command Command, held upstream.Position) Code {
 	u, st := c.u, command.Statement
 	if u.panics {
@@ -180,6 +191,12 @@
 		return CodeNoStatement
 	}
 	u.ran = append(u.ran, st.ID)
+	if st.Kind == KindExecute {
+		if u.shapes == nil {
+			u.shapes = map[string][]string{}
+		}
+		u.shapes[st.ID] = append(u.shapes[st.ID], c.prepared[command.Name])
+	}
 	values := map[string]string{}
 	for name, value := range c.values {
 		values[name] = value
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -112,10 +112,11 @@
 	Conn
 	pool *pool
 	// team is the one for which the connection was opened.
-	team      *poolTeam
-	usage     usage
-	values    map[string]string
-	prepared  map[string]bool
+	team   *poolTeam
+	usage  usage
+	values map[string]string
+	// prepared holds the names of the statements that the connection has prepared.
+	prepared  map[definitionID]string
 	idleSince time.Time
 	// sessionTeam is the team of the session that a virtual connection served
 	// last. stale is set if another team has left values or prepared statements
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -107,10 +107,11 @@
 	if err != nil {
 		return s.readAcquireFailed(err, progress, t.upstream.Id)
 	}
-	command := stmt.command()
+	setUp := s.setUp(c, stmt)
+	command := stmt.command(c)
 	command.MinPosition = t.minPosition
 	sentAt := now()
-	answers, err := exchange(c, time.Now().Add(readTimeout(t.pool, route, progress)), s.setUp(c, stmt), command)
+	answers, err := exchange(c, time.Now().Add(readTimeout(t.pool, route, progress)), setUp, command)
 	if err == nil {
 		t.pool.recordPosition(t.minPosition, answers[0], &s.proxy.group(route.Group).positions)
 	}
@@ -199,7 +200,7 @@
 		return retryLeaving()
 	}
 	sentAt := now()
-	answers, err := exchange(c, time.Now().Add(readTimeout(c.pool, route, progress)), nil, stmt.command(), Command{Kind: CommandRollback})
+	answers, err := exchange(c, time.Now().Add(readTimeout(c.pool, route, progress)), nil, stmt.command(c), Command{Kind: CommandRollback})
 	if err == nil && answers[0].Code == CodeNone {
 		s.proxy.group(route.Group).positions.add(answers[0].Position, sentAt)
 	}
--- a/proxy/relayed.go
+++ b/proxy/relayed.go
@@ -102,8 +102,7 @@
 }
 
 // passToTeam prepares a virtual connection for a session of a team. What another
-// team has set or prepared is reset: names of prepared statements are hashes, and
-// a caller could look for one that means another team's.
+// team has set or prepared is reset.
 func (c *conn) passToTeam(team string) {
 	if c.sessionTeam == team {
 		return
--- a/proxy/relayed_test.go
+++ b/proxy/relayed_test.go
@@ -44,16 +44,15 @@
 	})
 }
 
-// Guards against a team that runs another team's prepared statement under the same
-// name, or with its session values, on a virtual connection that both have used: the
-// names of prepared statements are hashes, which a caller could collide.
+// Guards against a team that runs a statement with another team's session values, or one
+// that only another team has prepared, on a virtual connection that both have used.
 func TestVirtualConnectionIsResetForAnotherTeam(t *testing.T) {
-	c := &conn{values: map[string]string{"caller": "x"}, prepared: map[string]bool{"w1": true}}
+	c := &conn{values: map[string]string{"caller": "x"}, prepared: map[definitionID]string{{}: "s1"}}
 	c.passToTeam("x")
 	values := map[string]string{"caller": "x"}
 	assert.DeepEqual(t, setValues(c, values), []Command{{Kind: CommandReset}, {Kind: CommandSet, Name: "caller", Value: "x"}})
 	assert.Equal(t, len(c.prepared), 0)
-	c.prepared["w1"] = true
+	c.prepared[definitionID{}] = "s1"
 	c.passToTeam("x")
 	assert.Equal(t, len(setValues(c, values)), 0, "a session of the same team needs no reset")
 	c.passToTeam("y")
--- a/proxy/relayedconn.go
+++ b/proxy/relayedconn.go
@@ -22,14 +22,15 @@
 	// exchanging is set while an exchange on the bound connection is incomplete.
 	exchanging bool
 	// values and prepared are the session state that the other proxy has set.
+	// prepared holds the definitions by the names that it has given them.
 	values   map[string]string
-	prepared map[string]Command
+	prepared map[string]preparedStatement
 }
 
 // OpenRelayed returns a virtual connection to a process of an upstream.
 func (p *Proxy) OpenRelayed(id, address string, bornMs int64) *RelayedConn {
 	key := poolKey{id: id, address: address, bornMs: bornMs}
-	return &RelayedConn{proxy: p, key: key, values: map[string]string{}, prepared: map[string]Command{}}
+	return &RelayedConn{proxy: p, key: key, values: map[string]string{}, prepared: map[string]preparedStatement{}}
 }
 
 // directPool returns the pool of the connections to a process of an upstream that
@@ -182,7 +183,7 @@
 		case CommandSet:
 			r.values[c.Name] = c.Value
 		case CommandPrepare:
-			r.prepared[c.Name] = c
+			r.prepared[c.Name] = newPreparedStatement(c.Value, c.ReadOnly)
 		default:
 			return i
 		}
@@ -214,7 +215,8 @@
 	c := r.bound
 	sentAt := now()
 	r.exchanging = true
-	answers, err := exchange(c, time.Now().Add(timeout), r.setUp(c, commands), commands...)
+	setUp, commands := r.setUp(c, commands)
+	answers, err := exchange(c, time.Now().Add(timeout), setUp, commands...)
 	r.exchanging = false
 	if err != nil {
 		r.bound = nil
@@ -248,17 +250,32 @@
 }
 
 // setUp returns the commands that give a connection the session state that the
-// commands need.
-func (r *RelayedConn) setUp(c *conn, commands []Command) []Command {
-	setUp := setValues(c, r.values)
-	for _, command := range commands {
-		if definition, ok := r.prepared[command.Name]; ok && command.Kind == CommandForward && command.Name != "" {
-			setUp = appendPrepare(setUp, c, definition)
+// commands need, and the commands with the names of prepared statements there.
+func (r *RelayedConn) setUp(c *conn, commands []Command) (setUp, renamed []Command) {
+	setUp = setValues(c, r.values)
+	renamed = commands
+	for i, command := range commands {
+		if command.Kind != CommandForward || command.Name == "" {
+			continue
+		}
+		if &renamed[0] == &commands[0] {
+			renamed = slices.Clone(commands)
+		}
+		// A name that the other proxy has not prepared is none here either.
+		renamed[i].Name = unknownName
+		if prepared, ok := r.prepared[command.Name]; ok {
+			if definition, needed := c.prepare(prepared); needed {
+				setUp = append(setUp, definition)
+			}
+			renamed[i].Name = c.prepared[prepared.id]
 		}
 	}
-	return setUp
+	return setUp, renamed
 }
 
+// unknownName is the name of no prepared statement on any connection.
+const unknownName = "unknown"
+
 // Close ends the virtual connection and rolls an open transaction back. After a
 // panic in Run it closes the connection to the upstream instead, on which an answer
 // may be outstanding.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -41,11 +41,6 @@
 	openWait       openWait
 }
 
-type preparedStatement struct {
-	readOnly bool
-	shape    string
-}
-
 // Open starts a session on a database for the caller with a key, of which it keeps
 // only the digest. It refuses if the view has no route for the database or no team
 // with the key, unless the route is open, or if the view cannot tell.
@@ -141,7 +136,7 @@
 	if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxPrepared {
 		return refuse(RefusedTooLarge, "too_many_prepared")
 	}
-	s.prepared[st.Name] = preparedStatement{readOnly: st.ReadOnly, shape: st.Value}
+	s.prepared[st.Name] = newPreparedStatement(st.Value, st.ReadOnly)
 	return Reply{}
 }
 
@@ -205,18 +200,10 @@
 	if stmt.prepared == nil {
 		return commands
 	}
-	definition := Command{Kind: CommandPrepare, Name: stmt.prepared.upstreamName(), Value: stmt.prepared.shape, ReadOnly: stmt.prepared.readOnly}
-	return appendPrepare(commands, c, definition)
-}
-
-// appendPrepare appends the command that prepares a statement, unless the connection
-// has prepared it already.
-func appendPrepare(commands []Command, c *conn, definition Command) []Command {
-	if c.prepared[definition.Name] {
-		return commands
+	if definition, needed := c.prepare(*stmt.prepared); needed {
+		commands = append(commands, definition)
 	}
-	c.prepared[definition.Name] = true
-	return append(commands, definition)
+	return commands
 }
 
 // setValues returns the commands that make the connection's session values equal
@@ -250,11 +237,12 @@
 	return commands
 }
 
-// command returns the command that runs the caller's statement.
-func (stmt resolvedStatement) command() Command {
+// command returns the command that runs the caller's statement on a connection that
+// setUp has prepared for it.
+func (stmt resolvedStatement) command(c *conn) Command {
 	command := Command{Kind: CommandForward, Statement: stmt.statement}
 	if stmt.prepared != nil {
-		command.Name = stmt.prepared.upstreamName()
+		command.Name = c.prepared[stmt.prepared.id]
 	}
 	return command
 }
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -180,7 +180,7 @@
 	}
 	sentAt := now()
 	c.pool.resume(c)
-	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), s.setUp(c, stmt), stmt.command())
+	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), s.setUp(c, stmt), stmt.command(c))
 	if err != nil {
 		return s.connectionLost(stmt, sentAt, err)
 	}
@@ -258,7 +258,7 @@
 	}
 	sentAt := now()
 	c.pool.resume(c)
-	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), nil, stmt.command())
+	answers, err := exchange(c, time.Now().Add(timeout(tx.route)), nil, stmt.command(c))
 	if err != nil {
 		tx.conn = nil
 		c.pool.discard(c, sentAt, err)
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -24,7 +24,7 @@
 		return acquireFailed(err)
 	}
 	sentAt := now()
-	answers, err := exchange(c, time.Now().Add(timeout(route)), s.setUp(c, stmt), stmt.command())
+	answers, err := exchange(c, time.Now().Add(timeout(route)), s.setUp(c, stmt), stmt.command(c))
 	if err != nil {
 		pl.discard(c, sentAt, err)
 		s.proxy.log.Warn("outcome of a write is unknown", "request", stmt.statement.ID, "database", s.database,
