A promotion order is sent only by a host that still leads at that moment

Cause: the lead was checked when the order was logged.

Change: Promote asks once more after it has a connection and before it writes to it, and closes the connection if the host no longer leads in the term of its watch. The same check stands before a step down and before replicas are released. An order that is withheld is logged and counted.

--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -26,6 +26,7 @@
 	received map[string]upstream.Offset
 	term     upstream.Term
 	orders   []order
+	withheld int // orders that were not sent
 	// steppedDown lists the upstreams that were asked to step down.
 	steppedDown []string
 	// commitsLost is set if an upstream was promoted that had not received all
@@ -43,6 +44,8 @@
 	// busy upstreams answer that they have no free slot, and paused ones have been told
 	// to receive nothing more.
 	busy, paused map[string]bool
+	// onStepDown is called before an upstream steps down.
+	onStepDown func()
 	// onPause is called, with mu held, before the first upstream pauses.
 	onPause func()
 	// onProbe is called with the id of each upstream that is dead and probed.
@@ -93,6 +96,9 @@
 }
 
 func (f *fakeUpstreams) StepDown(ctx context.Context, u *pb.SiteUpstream, _ upstream.Term) (UpstreamStatus, error) {
+	if f.onStepDown != nil {
+		f.onStepDown()
+	}
 	f.edit(func() {
 		f.steppedDown = append(f.steppedDown, u.Id)
 		if f.primary[u.Group] == u.Id {
@@ -118,7 +124,11 @@
 	return f.Status(ctx, u)
 }
 
-func (f *fakeUpstreams) Promote(ctx context.Context, group, id, holder string, token uint64) error {
+func (f *fakeUpstreams) Promote(ctx context.Context, group, id, holder string, token uint64, mayOrder func() bool) error {
+	if !mayOrder() {
+		f.edit(func() { f.withheld++ })
+		return &OrderWithheld{Group: group, Token: token}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order{group, id, holder, token})
--- a/sitecontrol/lead.go
+++ b/sitecontrol/lead.go
@@ -48,7 +48,7 @@
 	s.log.Info("this host leads the control hosts", "term", term)
 	s.resetAnnouncementTimes()
 	group.Go(func() { s.runMembership(ctx) })
-	group.Go(func() { s.runGroups(ctx) })
+	group.Go(func() { s.runGroups(ctx, term) })
 	group.Go(func() { s.runProxyCount(ctx) })
 	for pause.For(ctx, leaderCheckInterval) {
 		// An expired lease may be renewed within the same term, so it does not
--- a/sitecontrol/order.go
+++ b/sitecontrol/order.go
@@ -108,6 +108,10 @@
 		w.server.log.Info("primary is not asked to step down: its status cannot be read or is not that of a primary", "group", w.group, "upstream", primary.Id, "error", err)
 		return
 	}
+	if !w.leads() {
+		w.server.log.Warn("primary is not asked to step down: this host no longer leads", "group", w.group, "upstream", primary.Id)
+		return
+	}
 	after, err := w.server.options.Prober.StepDown(ctx, primary, before.Received.Term+1)
 	if err != nil {
 		w.server.log.Warn("primary did not step down", "group", w.group, "upstream", primary.Id, "error", err)
@@ -159,7 +163,13 @@
 	w.orderSent = true
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	err := w.server.options.Promoter.Promote(ctx, w.group, id, w.server.options.Name, token)
+	err := w.server.options.Promoter.Promote(ctx, w.group, id, w.server.options.Name, token, w.leads)
+	var withheld *OrderWithheld
+	if errors.As(err, &withheld) {
+		w.server.metrics.Counter("orders_withheld_total").Inc(1)
+		w.server.log.Warn("promotion order withheld: this host no longer leads", "group", w.group, "upstream", id, "token", token)
+		return
+	}
 	w.server.metrics.Counter("promotions_ordered_total").Inc(1)
 	w.server.log.Info("promotion order sent to the platform", "group", w.group, "upstream", id, "token", token, "error", err)
 	var refused *PromotionRefused
--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -39,6 +39,9 @@
 type groupWatch struct {
 	server *Server
 	group  string
+	// term is the term of the control hosts in which this host watches the group as
+	// the leader.
+	term uint64
 	// stepping is set while a step runs. The fields below are used by that step
 	// only.
 	stepping atomic.Bool
@@ -68,7 +71,7 @@
 
 // runGroups lets each group take a step at each interval. A group whose step takes
 // longer, because an upstream or the platform does not answer, delays no other.
-func (s *Server) runGroups(ctx context.Context) {
+func (s *Server) runGroups(ctx context.Context, term uint64) {
 	watches := make(map[string]*groupWatch)
 	var steps conc.WaitGroup
 	defer steps.Wait()
@@ -77,7 +80,7 @@
 		for _, g := range state.Config.GetGroups() {
 			w, ok := watches[g.Name]
 			if !ok {
-				w = &groupWatch{server: s, group: g.Name}
+				w = &groupWatch{server: s, group: g.Name, term: term}
 				watches[g.Name] = w
 			}
 			if w.stepping.CompareAndSwap(false, true) {
@@ -91,6 +94,13 @@
 	}
 }
 
+// leads reports whether this host still leads in the term of the watch. A step may have
+// waited for an upstream, or the host may have been suspended, since it began.
+func (w *groupWatch) leads() bool {
+	term, ok := w.server.options.Consensus.Leadership()
+	return ok && term == w.term
+}
+
 // upstreams returns the group's recorded primary, nil if it has none, its other
 // upstreams and its record.
 func (w *groupWatch) upstreams() (primary *pb.SiteUpstream, others []*pb.SiteUpstream, g *pb.SiteGroupState) {
--- a/sitecontrol/promotion_test.go
+++ b/sitecontrol/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -228,3 +229,38 @@
 	assert.Equal(t, len(rest), len(hosts)-1)
 	return rest
 }
+
+// Guards against a control host that loses the lead while it waits for the old primary to
+// step down, and then sends its promotion order with a token below that of the next leader.
+func TestOrderIsWithheldAfterTheLeadIsLost(t *testing.T) {
+	fake := newFakeUpstreams()
+	hosts := startCluster(t, 3, fake)
+	storeConfig(t, hosts[0], 1, "one")
+	announceGroup(t, hosts[0], fake)
+	leader := slices.IndexFunc(hosts, func(h *testHost) bool { _, leads := h.node.Leadership(); return leads })
+	assert.Assert(t, leader >= 0)
+	lost := make(chan struct{})
+	fake.edit(func() {
+		fake.received["r2"] = 30
+		fake.onStepDown = func() {
+			for i, h := range hosts {
+				if i != leader {
+					h.stop()
+					h.stop = func() {}
+				}
+			}
+			for leads := true; leads; {
+				_, leads = hosts[leader].node.Leadership()
+			}
+			close(lost)
+		}
+	})
+	announceLeaving(t, hosts[leader], "p", 2)
+	<-lost
+	waitFor(t, "the order withheld or sent", func() bool {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return fake.withheld > 0 || len(fake.orders) > 0
+	})
+	assert.Equal(t, len(fake.receivedOrders()), 0)
+}
--- a/sitecontrol/server.go
+++ b/sitecontrol/server.go
@@ -76,9 +76,21 @@
 // Promoter orders the platform to promote an upstream. A call that fails without
 // an answer may still be carried out later, unless an order with a higher token
 // has been accepted by then. It returns *PromotionRefused if the order was
-// refused.
+// refused, and *OrderWithheld if it was not sent. Promote calls mayOrder right before
+// it sends the order, after all that it has to wait for, and sends nothing if that
+// returns false.
 type Promoter interface {
-	Promote(ctx context.Context, group, id, holder string, token uint64) error
+	Promote(ctx context.Context, group, id, holder string, token uint64, mayOrder func() bool) error
+}
+
+// OrderWithheld reports an order that was not sent, because this host no longer led.
+type OrderWithheld struct {
+	Group string
+	Token uint64
+}
+
+func (e *OrderWithheld) Error() string {
+	return "promotion in group " + e.Group + " was not sent: this host no longer leads"
 }
 
 // PromotionRefused reports an order that the platform refused, because it has
--- a/sitecontrol/successor.go
+++ b/sitecontrol/successor.go
@@ -322,6 +322,9 @@
 // resume lets replicas receive again. A replica that does not answer is released by the
 // next promotion or its restart.
 func (w *groupWatch) resume(ctx context.Context, replicas []*pb.SiteUpstream) {
+	if !w.leads() {
+		return // another leader may have paused them for an order of its own
+	}
 	answers := w.askAll(ctx, replicas, func(ctx context.Context, u *pb.SiteUpstream) (UpstreamStatus, error) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
