A new primary is recorded before the other replicas are released

A lost primary that does not answer would have delayed the record, and so the proxies' view, by the 400 ms of a probe, in groups with synchronous replicas. Seen by reading. Tests of sitecontrol pass.

--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -155,15 +155,16 @@
 }
 
 func (w *groupWatch) record(ctx context.Context, u *pb.SiteUpstream, reason string) bool {
-	if w.syncReplicas > 0 {
-		// A change of primary pauses them, this host's or that of an earlier leader.
-		w.resumeOthers(ctx, u)
-	}
 	command := &pb.RecordPrimary{Group: w.group, Upstream: u.Id}
 	_, err := w.server.propose(ctx, &pb.SiteCommand{Command: &pb.SiteCommand_RecordPrimary{RecordPrimary: command}})
 	w.server.log.Info("leader proposed to record an upstream as the primary of its group", "group", w.group, "upstream", u.Id, "reason", reason, "error", err)
 	w.unavailableSince, w.cutOffSince = time.Time{}, time.Time{}
 	w.orderSent = false
+	if err == nil && w.syncReplicas > 0 {
+		// A change of primary pauses them, this host's or that of an earlier leader. The
+		// promotion released them, unless the primary of before was kept.
+		w.resumeOthers(ctx, u)
+	}
 	return err == nil
 }
 
