--- a/sitecontrol/successor_test.go
+++ b/sitecontrol/successor_test.go
@@ -46,7 +46,11 @@
 		return primaryOf(h, "g") != "p"
 	})
 	assert.Equal(t, primaryOf(h, "g"), "r2")
-	assert.Equal(t, len(fake.paused), 0, "replicas that stay paused: %v", fake.paused)
+	waitFor(t, "no replica paused", func() bool {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return len(fake.paused) == 0
+	})
 }
 
 // Guards against an acknowledged commit that is lost because the replica that holds it
