A group is not held up by upstreams that ended or crashed before its primary was lost

A replica that had ended as planned 6 s before counted for 30 s as one that may hold a commit that no other has, because its successor had started before it, at another address. The present primary came back under another id, and the record of an earlier one, which had crashed 18 s before as the primary, was taken for the group's primary: it was the first in the list. Groups without synchronous replicas had this too; there the dead primary was replaced once more.

Red before: TestReplicaThatEndedHoldsUpNoChange, TestCrashedPrimaryIsNotRecordedByItsLastAnnouncement. Tests of sitecontrol pass.

--- a/sitecontrol/primary.go
+++ b/sitecontrol/primary.go
@@ -141,17 +141,29 @@
 
 // adoptAnnounced records an upstream that announces itself as the primary while
 // the recorded primary is gone or announces that it is a replica. It reports
-// whether there was one and it has been recorded.
+// whether there was one and it has been recorded. Of several it takes the one that was
+// heard last: a primary that has crashed keeps the record of its last announcement.
 func (w *groupWatch) adoptAnnounced(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream) bool {
 	if primary != nil && primary.Primary {
 		return false
 	}
+	var latest *pb.SiteUpstream
+	var heardAt time.Time
 	for _, u := range others {
-		if u.Primary {
-			return w.record(ctx, u, "announced itself")
+		at := w.server.lastHeard(u.Id)
+		if u.Primary && now().Sub(at) < announcementMaxAge && (latest == nil || at.After(heardAt)) {
+			latest, heardAt = u, at
 		}
 	}
-	return false
+	return latest != nil && w.record(ctx, latest, "announced itself")
+}
+
+// lastHeard returns when the leader last received an announcement of an upstream, or
+// when it began to lead.
+func (s *Server) lastHeard(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announcements[id].receivedAt
 }
 
 func (w *groupWatch) record(ctx context.Context, u *pb.SiteUpstream, reason string) bool {
@@ -183,6 +195,9 @@
 		w.findPrimary(ctx, append(others, primary), g)
 		return
 	}
+	if err == nil {
+		w.clearEnded(ctx, primary, others)
+	}
 	answered := err == nil || errors.As(err, &busy)
 	if answered {
 		w.unavailableSince = time.Time{}
@@ -242,9 +257,7 @@
 	} else if w.cutOffSince.IsZero() {
 		w.cutOffSince = checkedAt
 	}
-	w.server.mu.Lock()
-	e := evidence{proxies: proxies, sinceAnnouncement: checkedAt.Sub(w.server.announcements[primary.Id].receivedAt)}
-	w.server.mu.Unlock()
+	e := evidence{proxies: proxies, sinceAnnouncement: checkedAt.Sub(w.server.lastHeard(primary.Id))}
 	if !w.unavailableSince.IsZero() {
 		e.probesFailingFor = checkedAt.Sub(w.unavailableSince)
 	}
--- a/sitecontrol/successor.go
+++ b/sitecontrol/successor.go
@@ -24,8 +24,8 @@
 	// primary still answered, to be taken for one that does not come back and holds no
 	// commit that others lack. It is longer than the cuts and freezes that sites state.
 	lostMemberAge = 30 * time.Second
-	// endedMemberAge is how long an upstream that has ended counts as one that may hold
-	// a commit, unless its successor, which has its log, announces itself at its address.
+	// endedMemberAge is how long an upstream that has ended counts at most as one that may
+	// hold a commit that no other upstream has.
 	endedMemberAge = 30 * time.Second
 	// successorLogInterval is the least time between two log lines on a change of
 	// primary that has to wait.
@@ -91,13 +91,17 @@
 type memberLog struct {
 	// addresses holds the address of each recorded upstream, by id.
 	addresses map[string]string
-	// ended holds the upstreams whose records were removed.
+	// ended holds the upstreams whose records were removed, until their successors, which
+	// have their logs, announce themselves at their addresses, or enough other upstreams
+	// hold what the primary held after they had ended.
 	ended map[string]endedMember
 }
 
 type endedMember struct {
 	address string
 	at      time.Time
+	// held is what the primary held after the end; zero if that is not known yet.
+	held upstream.Position
 }
 
 // update takes the group's recorded upstreams at a moment.
@@ -123,6 +127,32 @@
 	}
 }
 
+// recordHeld takes the position of the primary, which was read after the last update.
+func (l *memberLog) recordHeld(position upstream.Position) {
+	for id, e := range l.ended {
+		if e.held == (upstream.Position{}) {
+			e.held = position
+			l.ended[id] = e
+		}
+	}
+}
+
+// clear forgets the ended upstreams that hold no commit which the primary and as many
+// replicas as hold each commit lack.
+func (l *memberLog) clear(replicas []probeResult, syncReplicas uint32) {
+	for id, e := range l.ended {
+		var holders uint32
+		for _, p := range replicas {
+			if p.err == nil && !p.status.Received.Before(e.held) {
+				holders++
+			}
+		}
+		if e.held != (upstream.Position{}) && holders >= syncReplicas {
+			delete(l.ended, id)
+		}
+	}
+}
+
 func (l *memberLog) endedIDs() []string {
 	var ids []string
 	for id := range l.ended {
@@ -157,6 +187,22 @@
 	return best, answers, err
 }
 
+// clearEnded forgets the upstreams that have ended and are not needed any more to find a
+// successor. The primary has just answered.
+func (w *groupWatch) clearEnded(ctx context.Context, primary *pb.SiteUpstream, others []*pb.SiteUpstream) {
+	if w.syncReplicas == 0 || len(w.members.ended) == 0 {
+		return
+	}
+	asking, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	position, err := w.server.options.Prober.Position(asking, primary)
+	if err != nil {
+		return // asked again with the next probe
+	}
+	w.members.recordHeld(position)
+	w.members.clear(w.probeAll(ctx, others), w.syncReplicas)
+}
+
 // lostLongAgo reports whether an upstream had announced nothing for lostMemberAge when
 // the primary last answered.
 func (w *groupWatch) lostLongAgo(u *pb.SiteUpstream) bool {
@@ -164,10 +210,7 @@
 	if at.IsZero() {
 		at = now()
 	}
-	w.server.mu.Lock()
-	defer w.server.mu.Unlock()
-	last, ok := w.server.announcements[u.Id]
-	return ok && at.Sub(last.receivedAt) >= lostMemberAge
+	return at.Sub(w.server.lastHeard(u.Id)) >= lostMemberAge
 }
 
 // replaceProven changes the primary of a group with synchronous replicas.
--- a/sitecontrol/successor_test.go
+++ b/sitecontrol/successor_test.go
@@ -184,4 +184,61 @@
 	l.update([]*pb.SiteUpstream{a}, start)
 	l.update([]*pb.SiteUpstream{a}, start.Add(endedMemberAge))
 	assert.Equal(t, len(l.endedIDs()), 0)
+
+	l.update([]*pb.SiteUpstream{a, b}, start)
+	l.update([]*pb.SiteUpstream{a}, start)
+	at := func(offset upstream.Offset) []probeResult {
+		return []probeResult{{upstream: a, status: UpstreamStatus{Received: upstream.Position{Term: 1, Offset: offset}}}}
+	}
+	l.clear(at(9), 1)
+	assert.DeepEqual(t, l.endedIDs(), []string{"b"})
+	l.recordHeld(upstream.Position{Term: 1, Offset: 7})
+	l.recordHeld(upstream.Position{Term: 1, Offset: 9})
+	l.clear(at(6), 1)
+	l.clear(at(9), 2)
+	assert.DeepEqual(t, l.endedIDs(), []string{"b"})
+	l.clear(at(7), 1)
+	assert.Equal(t, len(l.endedIDs()), 0)
+}
+
+// Guards against a group that stays without a primary for long, because a replica ended as
+// planned shortly before the primary was lost.
+func TestReplicaThatEndedHoldsUpNoChange(t *testing.T) {
+	h, fake := startSyncGroup(t)
+	fake.edit(func() { fake.received["r1"] = 30 })
+	assert.NilError(t, h.server.RemoveUpstream(context.Background(), "r2"))
+	waitFor(t, "the end of r2 known", func() bool {
+		state, _, _ := h.server.options.State.Current()
+		return len(state.Upstreams) == 2
+	})
+	// Two probes of the primary: one that reads what it holds, and some time.
+	ended := time.Now()
+	waitFor(t, "probes of the primary", func() bool { return time.Since(ended) > 3*probeInterval })
+	fake.edit(func() { fake.dead["p"], fake.dead["r2"] = true, true })
+	lost := time.Now()
+	waitFor(t, "another primary", func() bool {
+		reportUnreachable(h, "p")
+		return primaryOf(h, "g") == "r1"
+	})
+	assert.Check(t, time.Since(lost) < endedMemberAge/3, "replaced after %v", time.Since(lost))
+}
+
+// Guards against a primary that crashed some time ago and is recorded again by its last
+// announcement, when the present one is gone and comes back under another id.
+func TestCrashedPrimaryIsNotRecordedByItsLastAnnouncement(t *testing.T) {
+	fake := newFakeUpstreams()
+	h := startCluster(t, 1, fake)[0]
+	storeConfig(t, h, 1, "one")
+	announceGroup(t, h, fake)
+	fake.edit(func() { fake.dead["p"] = true })
+	waitFor(t, "another primary", func() bool {
+		reportUnreachable(h, "p")
+		return primaryOf(h, "g") == "r2"
+	})
+	returned := newAnnouncement("r2", true, 200, 1)
+	returned.Id = "r2-again"
+	fake.edit(func() { fake.primary["g"] = returned.Id })
+	announce(t, h, returned)
+	waitFor(t, "a primary other than the one that is gone", func() bool { return primaryOf(h, "g") != "r2" })
+	assert.Equal(t, primaryOf(h, "g"), "r2-again")
 }
