--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -1,9 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -191,3 +196,147 @@
 	d.record.add("afterwards: answers to clients: %v; starts that failed: %d", after.counts, failed)
 	return failed > 0 || after.counts["served"] == 0, nil
 }
+
+// largeValues: one client sets session values, each with a message of nearly 1 MiB. The
+// platform kills a process that uses more than its memory and starts it again. The client
+// comes back to a process that runs, as clients do after a break.
+func largeValues(d *deployment, trouble bool) (bool, error) {
+	g, err := newGroup(d, 3, 8*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	seeds, proxies := []int{1, 2, 3}, []int{60, 61, 62}
+	for _, last := range []int{1, 2, 3, 4, 5} {
+		if _, err := d.start("control", last, seeds, true); err != nil {
+			return false, err
+		}
+	}
+	for _, b := range g.backends {
+		go b.run()
+	}
+	p := &platform{deployment: d, seeds: seeds, kills: map[int]int{}, stop: make(chan struct{})}
+	for _, last := range proxies {
+		h, err := d.start("proxy", last, seeds, true)
+		if err != nil {
+			return false, err
+		}
+		p.done.Add(1)
+		go p.watch(last, h)
+	}
+	defer p.end()
+	if !d.order(3, all(1, 2, 3, 4, 5), 20*time.Second) {
+		return false, errors.New("the first configuration was not acknowledged")
+	}
+	time.Sleep(2 * time.Second)
+	c := newClients(d)
+	c.run(12, proxies, 20*time.Millisecond)
+	size := 1000
+	if trouble {
+		size = 1<<20 - 100
+	}
+	for round := range 3 {
+		for _, last := range proxies {
+			acknowledged, err := d.setValues(last, 250, size)
+			d.record.add("round %d: the client on proxy-%d sent SET of %d bytes; acknowledged: %d; then: %v", round+1, last, size, acknowledged, err)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	c.end()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	thrice := 0
+	for _, last := range proxies {
+		if p.kills[last] >= 3 {
+			thrice++
+		}
+	}
+	d.record.add("answers to the other clients: %v; ends of processes over their memory: %v", c.counts, p.kills)
+	return thrice >= 2, nil
+}
+
+// platform kills processes that use more than their memory, and starts them again.
+type platform struct {
+	deployment *deployment
+	seeds      []int
+	stop       chan struct{}
+	done       sync.WaitGroup
+
+	mu    sync.Mutex
+	kills map[int]int
+}
+
+func (p *platform) watch(last int, h *host) {
+	defer p.done.Done()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		used := h.memoryMB()
+		if used <= proxyMemoryMB {
+			continue
+		}
+		h.kill()
+		p.deployment.record.add("proxy-%d used %d MB of %d and is killed", last, used, proxyMemoryMB)
+		p.mu.Lock()
+		p.kills[last]++
+		p.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		next, err := p.deployment.start("proxy", last, p.seeds, false)
+		if err != nil {
+			p.deployment.record.add("proxy-%d: %v", last, err)
+			return
+		}
+		h = next
+	}
+}
+
+func (p *platform) end() {
+	close(p.stop)
+	p.done.Wait()
+}
+
+// setValues opens a session through a proxy, sets count values with messages of a size, and
+// then reads once. It returns how many were acknowledged.
+func (d *deployment) setValues(proxy, count, size int) (acknowledged int, err error) {
+	conn, err := net.DialTimeout("tcp", d.front(proxy), time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	in := bufio.NewReader(conn)
+	send := func(message []byte) (string, error) {
+		if _, err := conn.Write(message); err != nil {
+			return "", err
+		}
+		for first := ""; ; {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return "", err
+			}
+			if first == "" {
+				first = line
+			}
+			if len(line) > 5 && line[:5] == "READY" {
+				return first, nil
+			}
+		}
+	}
+	if _, err := send([]byte("STARTUP " + database + " rude\r\n")); err != nil {
+		return 0, err
+	}
+	for i := range count {
+		message := fmt.Appendf(nil, "QUERY %016x SET v%d ", i, i)
+		message = append(message, bytes.Repeat([]byte{'x'}, size-len(message)-2)...)
+		answer, err := send(append(message, "\r\n"...))
+		if err != nil {
+			return i, err
+		}
+		if answer[:8] != "COMPLETE" {
+			return i, errors.New(answer)
+		}
+	}
+	return count, nil
+}
--- a/review/_rig2/hosts.go
+++ b/review/_rig2/hosts.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -84,7 +85,6 @@
 		"zones":               map[string]string{"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-a"},
 		"internal_port_range": []int{d.midPort, d.midPort + 15},
 		"bootstrap":           bootstrap, "counts_as_loss": role == "control",
-		"limits":    map[string]any{"cpu_share": 0.96, "cpu_cores": 1, "memory_mb": 280, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128},
 		"discovery": "registry", "entry": "vip", "heartbeat_ms": heartbeatMs, "config_mode": "highest",
 		"invariants":      []string{"base", "drain", "config", "cost", "recover", "sql"},
 		"fault_tolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
@@ -104,9 +104,11 @@
 			return nil, err
 		}
 		s["machine_class"], s["serves"], s["data_dir"] = "core", []string{"control"}, h.dataDir
+		s["limits"] = map[string]any{"cpu_share": 0.96, "cpu_cores": 1, "memory_mb": 280, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128}
 		s["listen"] = map[string]string{"control": d.control(last)}
 	} else {
 		s["machine_class"], s["serves"], s["data_dir"] = "front", []string{"front"}, nil
+		s["limits"] = map[string]any{"cpu_share": 0.272, "cpu_cores": 1, "memory_mb": proxyMemoryMB, "max_fds": 3010, "link_mbps": 700.0, "disk_mb": 0}
 		s["listen"] = map[string]string{"front": d.front(last), "ready": net.JoinHostPort(h.ip, fmt.Sprint(d.readyPort))}
 	}
 	data, err := json.Marshal(s)
@@ -154,6 +156,21 @@
 	}
 }
 
+// memoryMB returns the memory that a process uses, 0 if it has ended.
+func (h *host) memoryMB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		var kilobytes int
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+			return kilobytes / 1000
+		}
+	}
+	return 0
+}
+
 // runsFor waits for a process up to a time, and returns its exit code if it has ended.
 func (h *host) runsFor(wait time.Duration) (exitCode int, runs bool) {
 	select {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -21,7 +21,7 @@
 // not run.
 type play func(d *deployment, trouble bool) (bool, error)
 
-var plays = map[string]play{"first-start": firstStart, "clock-back": clockBack, "settings-change": settingsChange}
+var plays = map[string]play{"first-start": firstStart, "clock-back": clockBack, "settings-change": settingsChange, "large-values": largeValues}
 
 func main() {
 	name := flag.String("case", "", "the case to play")
--- a/review/_rig2/operator.go
+++ b/review/_rig2/operator.go
@@ -12,8 +12,10 @@
 const (
 	heartbeatMs = 1200
 	drainMs     = 7000
-	service     = "svc4k"
-	database    = "db7pu"
+	// proxyMemoryMB is the memory limit of an entry machine of tahimik-pool.
+	proxyMemoryMB = 206
+	service       = "svc4k"
+	database      = "db7pu"
 )
 
 // configuration is a whole configuration with one route and one service.
