--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 test -x target/lovageslip-site -a -x target/review-rig-2 || exit 2
 trouble=true
 test "${TROUBLE:-1}" = 0 && trouble=false
-exec target/review-rig-2 -case clock-back -trouble=$trouble -record "$folder/record.txt"
+exec target/review-rig-2 -case settings-change -trouble=$trouble -record "$folder/record.txt"
