--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -136,7 +136,7 @@
 	return len(primary.late) > 0, nil
 }
 
-// settingsChange: the platform writes the bound drain_ms as the fraction 7000.0 when the
+// settingsChange: the platform writes the bound drain_ms as the fraction 7000.5 when the
 // settings files change, and the machines of the system are stopped and started in turn.
 func settingsChange(d *deployment, trouble bool) (bool, error) {
 	g, err := newGroup(d, 3, 8*time.Millisecond)
@@ -168,8 +168,8 @@
 	before.end()
 	d.record.add("before the settings change: answers to clients: %v", before.counts)
 	if trouble {
-		d.drain = json.RawMessage("7000.0")
-		d.record.add("the platform writes drain_ms as 7000.0 from now on")
+		d.drain = json.RawMessage("7000.5")
+		d.record.add("the platform writes drain_ms as 7000.5 from now on")
 	}
 	failed := 0
 	for _, last := range proxies {
