--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -197,7 +197,8 @@
 	return failed > 0 || after.counts["served"] == 0, nil
 }
 
-// largeValues: one client sets session values, each with a message of nearly 1 MiB. The
+// largeValues: one client prepares statements, each with a message that is shorter than the
+// max_body_bytes of the configuration, no faster than the machine's link takes them. The
 // platform kills a process that uses more than its memory and starts it again. The client
 // comes back to a process that runs, as clients do after a break.
 func largeValues(d *deployment, trouble bool) (bool, error) {
@@ -232,12 +233,12 @@
 	c.run(12, proxies, 20*time.Millisecond)
 	size := 1000
 	if trouble {
-		size = 1<<20 - 100
+		size = 262000
 	}
 	for round := range 3 {
 		for _, last := range proxies {
-			acknowledged, err := d.setValues(last, 250, size)
-			d.record.add("round %d: the client on proxy-%d sent SET of %d bytes; acknowledged: %d; then: %v", round+1, last, size, acknowledged, err)
+			acknowledged, err := d.prepare(last, 1000, size)
+			d.record.add("round %d: the client on proxy-%d sent PREPARE of %d bytes; acknowledged: %d; then: %v", round+1, last, size, acknowledged, err)
 		}
 		time.Sleep(2 * time.Second)
 	}
@@ -297,15 +298,19 @@
 	p.done.Wait()
 }
 
-// setValues opens a session through a proxy, sets count values with messages of a size, and
-// then reads once. It returns how many were acknowledged.
-func (d *deployment) setValues(proxy, count, size int) (acknowledged int, err error) {
+// preparePause keeps the messages of one client below the 700 Mbit/s of an entry machine's
+// link: 262,000 bytes each 4 ms are 524 Mbit/s.
+const preparePause = 4 * time.Millisecond
+
+// prepare opens a session through a proxy and prepares count statements with messages of a
+// size. It returns how many were acknowledged.
+func (d *deployment) prepare(proxy, count, size int) (acknowledged int, err error) {
 	conn, err := net.DialTimeout("tcp", d.front(proxy), time.Second)
 	if err != nil {
 		return 0, err
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	in := bufio.NewReader(conn)
 	send := func(message []byte) (string, error) {
 		if _, err := conn.Write(message); err != nil {
@@ -328,7 +333,8 @@
 		return 0, err
 	}
 	for i := range count {
-		message := fmt.Appendf(nil, "QUERY %016x SET v%d ", i, i)
+		time.Sleep(preparePause)
+		message := fmt.Appendf(nil, "QUERY %016x PREPARE p%d READ q%d", i, i, i)
 		message = append(message, bytes.Repeat([]byte{'x'}, size-len(message)-2)...)
 		answer, err := send(append(message, "\r\n"...))
 		if err != nil {
--- a/review/_rig2/servers.go
+++ b/review/_rig2/servers.go
@@ -359,6 +359,7 @@
 // query runs one statement and returns the answer; an empty one if the process has ended.
 func (s *session) query(request, text string) string {
 	g := s.backend.group
+	arrivedAt := time.Now()
 	if request != "-" {
 		time.Sleep(g.work)
 	}
@@ -367,7 +368,7 @@
 	if s.backend.down {
 		return "" // the process has ended meanwhile
 	}
-	rows, err := s.runLocked(request, text)
+	rows, err := s.runLocked(request, text, arrivedAt)
 	answer := strings.Join(rows, "")
 	switch {
 	case err != nil:
@@ -387,7 +388,7 @@
 	return answer + "READY " + state + " " + s.backend.positionLocked() + "\r\n"
 }
 
-func (s *session) runLocked(request, text string) (rows []string, err error) {
+func (s *session) runLocked(request, text string, arrivedAt time.Time) (rows []string, err error) {
 	b := s.backend
 	if rest, ok := strings.CutPrefix(text, "WAITLSN "); ok {
 		wanted, statement, _ := strings.Cut(rest, " ")
@@ -433,7 +434,7 @@
 		}
 		words = append([]string{access}, words[2:]...)
 	}
-	s.countLocked(request, text)
+	s.countLocked(request, text, arrivedAt)
 	switch {
 	case words[0] == "READ" && len(words) == 2:
 		return []string{"DATAROW " + b.readLocked(words[1]) + "\r\n"}, nil
@@ -462,16 +463,16 @@
 }
 
 // countLocked counts single statements and the first ones of transactions.
-func (s *session) countLocked(request, text string) {
+func (s *session) countLocked(request, text string, arrivedAt time.Time) {
 	b := s.backend
 	if request == "-" || s.open && !s.first {
 		return
 	}
 	s.first = false
 	b.statement++
-	if after := time.Since(b.ackedAt); !b.ackedAt.IsZero() && after > drainMs*time.Millisecond {
+	if after := arrivedAt.Sub(b.ackedAt); !b.ackedAt.IsZero() && after > drainMs*time.Millisecond {
 		b.late = append(b.late, lateRun{request, text, after})
-		b.group.deployment.record.add("%s runs %s %q %v after its draining was acknowledged", b.id, request, text, after.Round(time.Millisecond))
+		b.group.deployment.record.add("%s runs %s %q, which reached it %v after its draining was acknowledged", b.id, request, text, after.Round(time.Millisecond))
 	}
 }
 
