--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -60,11 +60,14 @@
 // link is the HTTP transport of one host. It can lose the requests to an address,
 // lose the responses from it, or break its connections before the response.
 type link struct {
-	inner            http.RoundTripper
+	inner http.RoundTripper
+
+	// mu guards all fields below.
 	mu               sync.Mutex
-	dropRequests     map[string]bool // requests to these addresses are lost
-	dropResponses    map[string]bool // responses from these addresses are lost
-	breakConnections map[string]bool // connections to these addresses break before the response
+	loses            func(*http.Request) bool // reports whether a request is lost; may be nil
+	dropRequests     map[string]bool          // requests to these addresses are lost
+	dropResponses    map[string]bool          // responses from these addresses are lost
+	breakConnections map[string]bool          // connections to these addresses break before the response
 }
 
 func newLink() *link {
@@ -77,7 +80,7 @@
 }
 
 func (l *link) RoundTrip(request *http.Request) (*http.Response, error) {
-	if l.contains(l.dropRequests, request.URL.Host) {
+	if l.contains(l.dropRequests, request.URL.Host) || l.losesRequest(request) {
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
@@ -96,6 +99,13 @@
 	return response, err
 }
 
+func (l *link) losesRequest(request *http.Request) bool {
+	l.mu.Lock()
+	loses := l.loses
+	l.mu.Unlock()
+	return loses != nil && loses(request)
+}
+
 func (l *link) contains(set map[string]bool, address string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -174,6 +174,7 @@
 	address string
 	dir     string
 	seeds   []string
+	maxLost int
 	fake    *fakeUpstreams
 	server  *Server
 	node    *consensus.Node
@@ -197,7 +198,7 @@
 	assert.NilError(h.t, err)
 	h.node = node
 	h.server = New(Options{
-		Name: "host " + h.address, Address: h.address, MaxLost: 1, Consensus: node, State: state,
+		Name: "host " + h.address, Address: h.address, MaxLost: max(h.maxLost, 1), Consensus: node, State: state,
 		Seeds: func() []string { return h.seeds }, Prober: h.fake, Promoter: h.fake, HTTPClient: tlsconf.HTTPClient(nil),
 	})
 	mux := http.NewServeMux()
@@ -232,7 +233,7 @@
 	}
 	var hosts []*testHost
 	for _, l := range listeners {
-		h := &testHost{t: t, address: l.Addr().String(), dir: t.TempDir(), seeds: seeds, fake: fake}
+		h := &testHost{t: t, address: l.Addr().String(), dir: t.TempDir(), seeds: seeds, maxLost: count / 2, fake: fake}
 		h.start(l, initial)
 		t.Cleanup(func() { h.stop() })
 		hosts = append(hosts, h)
