TestLostOrderIsSentAgainSoon measures the pause between the orders, not the disk

Cause: the test's time included the log entry that records the new primary, and with it an fsync.

The test now takes the times from the platform's stand-in, allows 0.9 s between the two orders (a second less the interval in which the leader notices the promotion), and requires that there are exactly two. It is as strict: without the short pause after an unanswered order it fails in 5 of 5 runs (0.90 s); 10 of 10 pass with it.

--- a/sitecontrol/host_test.go
+++ b/sitecontrol/host_test.go
@@ -55,6 +55,7 @@
 type order struct {
 	group, id, holder string
 	token             uint64
+	receivedAt        time.Time
 }
 
 func newFakeUpstreams() *fakeUpstreams {
@@ -131,7 +132,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.orders = append(f.orders, order{group, id, holder, token})
+	f.orders = append(f.orders, order{group, id, holder, token, time.Now()})
 	if f.loseOrders > 0 {
 		f.loseOrders--
 		f.mu.Unlock()
--- a/sitecontrol/promotion_test.go
+++ b/sitecontrol/promotion_test.go
@@ -123,12 +123,14 @@
 	leaving.Leaving = true
 	announce(t, hosts[0], leaving)
 	fake.edit(func() { fake.received["r2"] = 30 })
-	waitFor(t, "the first order", func() bool { return len(fake.receivedOrders()) == 1 })
-	sentAt := time.Now()
 	waitFor(t, "another primary", func() bool { return primaryOf(hosts[0], "g") == "r2" })
-	assert.Check(t, time.Since(sentAt) < time.Second, "the order took effect after %v", time.Since(sentAt))
 	orders := fake.receivedOrders()
+	assert.Equal(t, len(orders), 2)
 	assert.Equal(t, orders[0].token, orders[1].token)
+	// The promotion is to be known within a second. The leader notices it at its next
+	// look at the group, and records it as soon as its disk lets it.
+	pause := orders[1].receivedAt.Sub(orders[0].receivedAt)
+	assert.Check(t, pause < time.Second-groupInterval, "the order was sent again after %v", pause)
 }
 
 // Guards against a group that is not watched while the upstreams of others do not
