--- a/sitecontrol/server_test.go
+++ b/sitecontrol/server_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"hash/crc32"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -51,10 +50,7 @@
 	hosts := startCluster(t, 3, newFakeUpstreams())
 	storeConfig(t, hosts[0], 7, "seven")
 	wiped := hosts[2]
-	wiped.stop()
-	assert.NilError(t, os.RemoveAll(wiped.dir))
-	l := listenAt(t, wiped.address)
-	wiped.start(l, nil)
+	loseDisks(t, wiped)
 	// Until it is removed and added again, it is listed as a voter with the
 	// incarnation of the lost folder, and its votes don't count.
 	waitFor(t, "three voters, the wiped one with its new folder", func() bool {
