--- /dev/null
+++ b/review/_rig3/syncrelease.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// drainPeriod is drain_ms of the settings.
+const drainPeriod = 7 * time.Second
+
+// morning is how long clients file entries around the second change of primary.
+const morning = 2500 * time.Millisecond
+
+// syncRelease plays a service with one synchronous replica whose backends are replaced one
+// after the other in a quiet hour: the first two hold the lead in turn and leave. Nobody
+// writes between the first change of primary and the second one. Filings begin while the
+// second promotion, which takes 600 ms, runs. Every filing that was acknowledged must be
+// in the log of the backend that is promoted.
+func syncRelease(program string, trouble bool, rec *recorder) (bool, error) {
+	zones["control"], zones["proxy"] = "a1", "b1"
+	g := newGroup("ledger", 1, 600*time.Millisecond, rec)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	defer listener.Close()
+	go func() { _ = http.Serve(listener, g) }()
+	s, err := newSite(program, rec, listener.Addr().String())
+	if err != nil {
+		return false, err
+	}
+	defer s.stop()
+	g.controls = s.controlAddresses
+	for i := range 3 {
+		s.addProcess("control", "a1", 10+i)
+	}
+	for i := range 2 {
+		s.addProcess("proxy", "b1", 30+i)
+	}
+	for _, p := range append(append([]*process(nil), s.controls...), s.proxies...) {
+		if err := p.start(true); err != nil {
+			return false, err
+		}
+	}
+	ip := fmt.Sprintf("127.0.%d.", s.network)
+	first, err := g.add("i-a", "a1", ip+"50:0", true, nil)
+	if err != nil {
+		return false, err
+	}
+	for i, zone := range []string{"b1", "b2"} {
+		if _, err := g.add("i-"+zone, zone, fmt.Sprintf("%s%d:0", ip, 51+i), false, nil); err != nil {
+			return false, err
+		}
+	}
+	services := []map[string]any{{"name": "ledger", "health_path": "/health", "max_conns": 71, "protocol": "h1", "tls": false, "sync_replicas": 1}}
+	if err := s.putConfig(1, []map[string]any{route("filing", "primary", "ledger"), route("timeline", "bounded_staleness", "ledger")}, services); err != nil {
+		return false, err
+	}
+	f := &filings{site: s, rec: rec, acked: map[string]bool{}}
+	if err := f.awaitService(); err != nil {
+		return false, err
+	}
+	f.file("evening", 300*time.Millisecond)
+	time.Sleep(time.Second)
+	if trouble {
+		if err := f.releaseTwice(g, first); err != nil {
+			return false, err
+		}
+	} else {
+		f.file("morning", morning)
+	}
+	time.Sleep(3 * time.Second)
+	return f.missing(g), nil
+}
+
+// filings are the writes of clients.
+type filings struct {
+	site  *site
+	rec   *recorder
+	mu    sync.Mutex
+	acked map[string]bool
+}
+
+// awaitService waits until a read and a write are served.
+func (f *filings) awaitService() error {
+	for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(100 * time.Millisecond) {
+		c, err := dialClient(f.site.proxies[0].front(), "filing")
+		if err != nil {
+			continue
+		}
+		a, err := c.query("WRITE entry first")
+		_ = c.conn.Close()
+		if err == nil && a.code == "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("no service")
+}
+
+// filingClients is how many clients write at the same time.
+const filingClients = 4
+
+// filingPause is the pause of a client between two entries.
+const filingPause = 10 * time.Millisecond
+
+// file lets clients write entries for a while, each one after the other.
+func (f *filings) file(when string, period time.Duration) {
+	var wait sync.WaitGroup
+	for i := range filingClients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f.writeEntries(fmt.Sprintf("%s-%d", when, i), i, period)
+		}()
+	}
+	wait.Wait()
+}
+
+func (f *filings) writeEntries(name string, i int, period time.Duration) {
+	var c *client
+	begun := time.Now()
+	for n := 0; time.Since(begun) < period; n++ {
+		time.Sleep(filingPause)
+		data := fmt.Sprintf("%s-%d", name, n)
+		if c == nil {
+			var err error
+			if c, err = dialClient(f.site.proxies[i%len(f.site.proxies)].front(), "filing"); err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+		}
+		a, err := c.query("WRITE " + data + " entry")
+		f.rec.add("client %s: WRITE %s: %s %s %v", name, data, a.signature, a.code, err)
+		switch {
+		case err != nil:
+			_ = c.conn.Close()
+			c = nil
+		case a.code == "":
+			f.mu.Lock()
+			f.acked[data] = true
+			f.mu.Unlock()
+		}
+	}
+	if c != nil {
+		_ = c.conn.Close()
+	}
+}
+
+// releaseTwice replaces the first primary and then its successor. Filings begin once the
+// platform has accepted the second promotion.
+func (f *filings) releaseTwice(g *group, first *backend) error {
+	go first.drain(drainPeriod)
+	second, err := awaitPrimary(g, first)
+	if err != nil {
+		return err
+	}
+	// The log of a backend that has left is transferred to a new one at its address.
+	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		g.mu.Lock()
+		ended := first.ended
+		g.mu.Unlock()
+		if ended {
+			break
+		}
+		if time.Since(begun) > 30*time.Second {
+			return fmt.Errorf("%s has not ended", first.id)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if _, err := g.add("i-a-new", first.zone, first.address, false, first.log); err != nil {
+		return err
+	}
+	time.Sleep(3 * time.Second)
+	done := make(chan struct{})
+	var once sync.Once
+	g.onPromote = func(string) {
+		once.Do(func() { f.file("morning", morning); close(done) })
+	}
+	go second.drain(drainPeriod)
+	if _, err := awaitPrimary(g, second); err != nil {
+		return err
+	}
+	<-done
+	return nil
+}
+
+// awaitPrimary waits until another backend leads.
+func awaitPrimary(g *group, before *backend) (*backend, error) {
+	for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(20 * time.Millisecond) {
+		if p := g.primary(); p != nil && p != before {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("no change of primary")
+}
+
+// missing reports whether an acknowledged entry is not in the primary's log.
+func (f *filings) missing(g *group) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.primaryLocked()
+	held := map[string]int{}
+	if p != nil {
+		for _, c := range p.log {
+			name, _ := cut(c.data)
+			held[name]++
+		}
+	}
+	lost := 0
+	for data := range f.acked {
+		if held[data] == 0 {
+			lost++
+			f.rec.add("LOST: entry %s was acknowledged and is not in the log of %s", data, idOf(p))
+		}
+	}
+	f.rec.add("%d entries acknowledged, %d of them lost", len(f.acked), lost)
+	fmt.Printf("%d entries acknowledged, %d of them lost\n", len(f.acked), lost)
+	return lost > 0
+}
