--- a/review/_rig3/backend.go
+++ b/review/_rig3/backend.go
@@ -42,6 +42,7 @@
 	name         string
 	syncReplicas int
 	promoteDelay time.Duration
+	workTime     time.Duration // of a statement
 	controls     func() []string
 	rec          *recorder
 	// onPromote is called, without the lock, for each promotion that was accepted.
@@ -73,11 +74,12 @@
 	conns                    map[net.Conn]bool
 	beat                     chan struct{}
 	heartbeatURL             string
-	lateResume               time.Duration
+	slots, busy              int
+	cutFromControl           bool
 }
 
 func newGroup(name string, syncReplicas int, promoteDelay time.Duration, rec *recorder) *group {
-	g := &group{name: name, syncReplicas: syncReplicas, promoteDelay: promoteDelay, rec: rec, term: 1}
+	g := &group{name: name, syncReplicas: syncReplicas, promoteDelay: promoteDelay, workTime: 3 * time.Millisecond, rec: rec, term: 1}
 	g.cond = sync.NewCond(&g.mu)
 	return g
 }
@@ -105,7 +107,7 @@
 	}
 	b := &backend{
 		g: g, id: id, zone: zone, listener: l, address: l.Addr().String(), born: time.Now().UnixMilli(), primary: primary,
-		conns: map[net.Conn]bool{}, beat: make(chan struct{}, 1), log: append([]commit(nil), log...),
+		conns: map[net.Conn]bool{}, beat: make(chan struct{}, 1), slots: slots, log: append([]commit(nil), log...),
 	}
 	g.mu.Lock()
 	b.term = g.term
@@ -170,7 +172,7 @@
 		g := b.g
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if !b.primary || b.term != term || b.ended || r.ended || r.paused || len(r.log) >= n {
+		if g.term != term || b.term != term || b.ended || r.ended || r.paused || len(r.log) >= n {
 			return
 		}
 		r.log = append(r.log[:len(r.log):len(r.log)], b.log[len(r.log):n]...)
@@ -316,6 +318,38 @@
 	b.g.cond.Broadcast()
 }
 
+// slots is how many statements a backend runs at the same time. One more is refused with
+// BUSY.
+const slots = 5
+
+// setCut cuts the backend off from the control hosts, or ends that. Clients' statements
+// and the group's replication go on.
+func (b *backend) setCut(cut bool) {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.cutFromControl = cut
+	b.g.rec.add("%s cut off from the control hosts: %v", b.id, cut)
+}
+
+// reachable reports whether the other end of a session's connection is reachable. If it
+// is not, it waits until the connection is dropped.
+func (s *session) reachable() bool {
+	s.b.g.mu.Lock()
+	cut := s.b.cutFromControl && s.who == controlWord
+	s.b.g.mu.Unlock()
+	if cut {
+		time.Sleep(unreachableTimeout)
+	}
+	return !cut
+}
+
+// unreachableTimeout is how long a backend keeps a connection whose other end is
+// unreachable.
+const unreachableTimeout = 3 * time.Second
+
+// controlWord says in STARTUP that a control host connects.
+const controlWord = "control"
+
 const heartbeatInterval = 1200 * time.Millisecond
 
 func (b *backend) sendHeartbeats() {
@@ -325,6 +359,11 @@
 			b.g.mu.Unlock()
 			return
 		}
+		if b.cutFromControl {
+			b.g.mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
 		b.seq++
 		state, role := "ready", "replica"
 		if b.draining {
@@ -402,6 +441,7 @@
 // session is a session on one connection.
 type session struct {
 	b        *backend
+	who      string // the word that says who is connecting
 	from     string // the zone of the other end
 	state    string
 	writable bool
@@ -435,7 +475,10 @@
 				_, _ = c.Write([]byte("ERROR WRONGNODE " + b.id + "\r\n"))
 				return
 			}
-			s.from = zones[fields[2]]
+			s.who, s.from = fields[2], zones[fields[2]]
+			if !s.reachable() {
+				return
+			}
 			b.g.mu.Lock()
 			reply = "READY I " + b.positionLocked().String() + "\r\n"
 			b.g.mu.Unlock()
@@ -445,9 +488,12 @@
 				delay = oneWay(s.from, b.zone)
 			}
 			time.Sleep(delay)
+			if !s.reachable() {
+				return
+			}
 			answered := true
 			reply, answered = s.answer(line)
-			if !answered {
+			if !answered || !s.reachable() {
 				return
 			}
 			time.Sleep(delay)
@@ -487,13 +533,19 @@
 	return "ERROR " + code + " " + s.b.id, true
 }
 
-// workTime is how long a statement works.
-const workTime = 3 * time.Millisecond
-
-func (s *session) work() {
-	s.b.g.mu.Unlock()
-	time.Sleep(workTime)
-	s.b.g.mu.Lock()
+// work occupies a slot for the time that a statement works. It reports false if none is
+// free.
+func (s *session) work() bool {
+	b := s.b
+	if b.busy >= b.slots {
+		return false
+	}
+	b.busy++
+	b.g.mu.Unlock()
+	time.Sleep(b.g.workTime)
+	b.g.mu.Lock()
+	b.busy--
+	return true
 }
 
 func (s *session) run(id, text string) (string, bool) {
@@ -513,6 +565,9 @@
 	switch {
 	case s.state == "E" && text != "ROLLBACK" && text != "COMMIT":
 		return "ERROR MALFORMED", true
+	case text == "STATUS" && b.busy >= b.slots:
+		b.g.rec.add("%s answers STATUS with BUSY", b.id)
+		return s.fail("BUSY")
 	case text == "STATUS" || word == "STEPDOWN" || word == "PAUSE" || word == "RESUME":
 		return s.command(word, rest), true
 	case text == "BEGIN" && !b.primary:
@@ -583,7 +638,9 @@
 	if lost || word == "WRITE" && !b.primary {
 		return s.fail("READONLY")
 	}
-	s.work()
+	if !s.work() {
+		return "ERROR BUSY " + b.id, true
+	}
 	if word != "READ" && len(s.writes)+len(data) > 0 && !b.primary {
 		return s.fail("READONLY")
 	}
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -20,6 +20,7 @@
 // cases are the scripts by name.
 var cases = map[string]func(program string, trouble bool, rec *recorder) (broken bool, err error){
 	"sync-release": syncRelease,
+	"sync-cut":     syncCut,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_rig3/syncrelease.go
+++ b/review/_rig3/syncrelease.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,20 +23,78 @@
 // second promotion, which takes 600 ms, runs. Every filing that was acknowledged must be
 // in the log of the backend that is promoted.
 func syncRelease(program string, trouble bool, rec *recorder) (bool, error) {
-	zones["control"], zones["proxy"] = "a1", "b1"
+	zones[controlWord], zones["proxy"] = "a1", "b1"
+	g, s, first, err := startLedger(program, rec)
+	if err != nil {
+		return false, err
+	}
+	defer s.stop()
+	f := &filings{site: s, rec: rec, pause: 10 * time.Millisecond, acked: map[string]bool{}}
+	if err := f.awaitService(); err != nil {
+		return false, err
+	}
+	f.file("evening", 4, 300*time.Millisecond)
+	time.Sleep(time.Second)
+	if trouble {
+		if err := f.releaseTwice(g, first); err != nil {
+			return false, err
+		}
+	} else {
+		f.file("morning", 4, morning)
+	}
+	time.Sleep(3 * time.Second)
+	return f.missing(g), nil
+}
+
+// otherServices are as large as the one that a case looks at. Nobody uses them.
+var otherServices = []string{"other1", "other2"}
+
+// platform passes promotions on to the service that they name.
+type platform []*group
+
+func (p platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 4096))
+	var named struct{ Service string }
+	if err == nil && json.Unmarshal(body, &named) == nil {
+		for _, g := range p {
+			if g.name == named.Service {
+				r.Body = io.NopCloser(bytes.NewReader(body))
+				g.ServeHTTP(w, r)
+				return
+			}
+		}
+	}
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+// startLedger starts a site with three services of three backends each, which acknowledge
+// a commit once one replica has received it. It returns the first service and its primary.
+func startLedger(program string, rec *recorder) (*group, *site, *backend, error) {
 	g := newGroup("ledger", 1, 600*time.Millisecond, rec)
+	all := platform{g}
+	for _, name := range otherServices {
+		all = append(all, newGroup(name, 1, 600*time.Millisecond, rec))
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return false, err
+		return nil, nil, nil, err
 	}
-	defer listener.Close()
-	go func() { _ = http.Serve(listener, g) }()
+	go func() { _ = http.Serve(listener, all) }()
 	s, err := newSite(program, rec, listener.Addr().String())
 	if err != nil {
-		return false, err
+		return nil, nil, nil, err
 	}
-	defer s.stop()
-	g.controls = s.controlAddresses
+	first, err := s.startAll(all)
+	if err != nil {
+		s.stop()
+		return nil, nil, nil, err
+	}
+	return g, s, first, nil
+}
+
+// startAll starts three control hosts, two proxies and the backends of the services. It
+// returns the primary of the first service.
+func (s *site) startAll(services platform) (*backend, error) {
 	for i := range 3 {
 		s.addProcess("control", "a1", 10+i)
 	}
@@ -42,44 +103,29 @@
 	}
 	for _, p := range append(append([]*process(nil), s.controls...), s.proxies...) {
 		if err := p.start(true); err != nil {
-			return false, err
-		}
-	}
-	ip := fmt.Sprintf("127.0.%d.", s.network)
-	first, err := g.add("i-a", "a1", ip+"50:0", true, nil)
-	if err != nil {
-		return false, err
-	}
-	for i, zone := range []string{"b1", "b2"} {
-		if _, err := g.add("i-"+zone, zone, fmt.Sprintf("%s%d:0", ip, 51+i), false, nil); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
-	services := []map[string]any{{"name": "ledger", "health_path": "/health", "max_conns": 71, "protocol": "h1", "tls": false, "sync_replicas": 1}}
-	if err := s.putConfig(1, []map[string]any{route("filing", "primary", "ledger"), route("timeline", "bounded_staleness", "ledger")}, services); err != nil {
-		return false, err
-	}
-	f := &filings{site: s, rec: rec, acked: map[string]bool{}}
-	if err := f.awaitService(); err != nil {
-		return false, err
-	}
-	f.file("evening", 300*time.Millisecond)
-	time.Sleep(time.Second)
-	if trouble {
-		if err := f.releaseTwice(g, first); err != nil {
-			return false, err
+	var routes, configs []map[string]any
+	for n, g := range services {
+		g.controls = s.controlAddresses
+		for i, zone := range []string{"a1", "b1", "b2"} {
+			address := fmt.Sprintf("127.0.%d.%d:0", s.network, 50+10*n+i)
+			if _, err := g.add(fmt.Sprintf("i-%s-%s", g.name, zone), zone, address, i == 0, nil); err != nil {
+				return nil, err
+			}
 		}
-	} else {
-		f.file("morning", morning)
+		configs = append(configs, map[string]any{"name": g.name, "health_path": "/health", "max_conns": 71, "protocol": "h1", "tls": false, "sync_replicas": 1})
+		routes = append(routes, route("filing-"+g.name, "primary", g.name), route("timeline-"+g.name, "bounded_staleness", g.name))
 	}
-	time.Sleep(3 * time.Second)
-	return f.missing(g), nil
+	return services[0].backends[0], s.putConfig(1, routes, configs)
 }
 
 // filings are the writes of clients.
 type filings struct {
 	site  *site
 	rec   *recorder
+	pause time.Duration // of a client between two entries
 	mu    sync.Mutex
 	acked map[string]bool
 }
@@ -87,7 +133,7 @@
 // awaitService waits until a read and a write are served.
 func (f *filings) awaitService() error {
 	for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(100 * time.Millisecond) {
-		c, err := dialClient(f.site.proxies[0].front(), "filing")
+		c, err := dialClient(f.site.proxies[0].front(), "filing-ledger")
 		if err != nil {
 			continue
 		}
@@ -100,16 +146,10 @@
 	return fmt.Errorf("no service")
 }
 
-// filingClients is how many clients write at the same time.
-const filingClients = 4
-
-// filingPause is the pause of a client between two entries.
-const filingPause = 10 * time.Millisecond
-
 // file lets clients write entries for a while, each one after the other.
-func (f *filings) file(when string, period time.Duration) {
+func (f *filings) file(when string, clients int, period time.Duration) {
 	var wait sync.WaitGroup
-	for i := range filingClients {
+	for i := range clients {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -123,11 +163,11 @@
 	var c *client
 	begun := time.Now()
 	for n := 0; time.Since(begun) < period; n++ {
-		time.Sleep(filingPause)
+		time.Sleep(f.pause)
 		data := fmt.Sprintf("%s-%d", name, n)
 		if c == nil {
 			var err error
-			if c, err = dialClient(f.site.proxies[i%len(f.site.proxies)].front(), "filing"); err != nil {
+			if c, err = dialClient(f.site.proxies[i%len(f.site.proxies)].front(), "filing-ledger"); err != nil {
 				time.Sleep(50 * time.Millisecond)
 				continue
 			}
@@ -170,14 +210,14 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	if _, err := g.add("i-a-new", first.zone, first.address, false, first.log); err != nil {
+	if _, err := g.add(first.id+"-new", first.zone, first.address, false, first.log); err != nil {
 		return err
 	}
 	time.Sleep(3 * time.Second)
 	done := make(chan struct{})
 	var once sync.Once
 	g.onPromote = func(string) {
-		once.Do(func() { f.file("morning", morning); close(done) })
+		once.Do(func() { f.file("morning", 4, morning); close(done) })
 	}
 	go second.drain(drainPeriod)
 	if _, err := awaitPrimary(g, second); err != nil {
