--- a/review/_rig3/backend.go
+++ b/review/_rig3/backend.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -47,6 +48,9 @@
 	rec          *recorder
 	// onPromote is called, without the lock, for each promotion that was accepted.
 	onPromote func(id string)
+	// onRun is called, with the lock held, for each statement of a client that runs, with
+	// the session values of the connection.
+	onRun func(id, word string, values map[string]string)
 
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -447,6 +451,7 @@
 	writable bool
 	writes   []string
 	prepared map[string]string
+	values   map[string]string
 }
 
 // zones tells where connections come from: the word that says who is connecting, and
@@ -461,7 +466,7 @@
 		_ = c.Close()
 	}()
 	r := bufio.NewReader(c)
-	s := &session{b: b, state: "I", prepared: map[string]string{}}
+	s := &session{b: b, state: "I", prepared: map[string]string{}, values: map[string]string{}}
 	for first := true; ; first = false {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -579,10 +584,14 @@
 		s.state, s.writes = "I", nil
 	case text == "RESET":
 		clear(s.prepared)
+		clear(s.values)
 	case word == "PREPARE":
 		name, definition := cut(rest)
 		s.prepared[name] = definition
-	case word == "SET" || word == "DEALLOC":
+	case word == "SET":
+		name, value := cut(rest)
+		s.values[name] = value
+	case word == "DEALLOC":
 	default:
 		return s.statement(id, word, rest)
 	}
@@ -644,6 +653,9 @@
 	if word != "READ" && len(s.writes)+len(data) > 0 && !b.primary {
 		return s.fail("READONLY")
 	}
+	if b.g.onRun != nil {
+		b.g.onRun(id, word, maps.Clone(s.values))
+	}
 	row := ""
 	switch word {
 	case "READ":
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -283,16 +283,21 @@
 type answer struct{ row, signature, code string }
 
 func (c *client) query(text string) (answer, error) {
-	var a answer
-	id := fmt.Sprintf("%016x", 0x5c0e7a2100000000+requestCount.Add(1))
+	_, a, err := c.queryWithID(text)
+	return a, err
+}
+
+// queryWithID also returns the id of the query.
+func (c *client) queryWithID(text string) (id string, a answer, err error) {
+	id = fmt.Sprintf("%016x", 0x5c0e7a2100000000+requestCount.Add(1))
 	_ = c.conn.SetDeadline(time.Now().Add(12 * time.Second))
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return a, err
+		return id, a, err
 	}
 	for {
 		line, err := c.reader.ReadString('\n')
 		if err != nil {
-			return a, err
+			return id, a, err
 		}
 		word, rest := cut(strings.TrimSuffix(line, "\r\n"))
 		switch word {
@@ -303,7 +308,7 @@
 		case "ERROR":
 			a.code, _ = cut(rest)
 		case "READY":
-			return a, nil
+			return id, a, nil
 		}
 	}
 }
