--- a/review/_rig3/backend.go
+++ b/review/_rig3/backend.go
@@ -69,6 +69,7 @@
 
 	// The group's lock guards the fields below.
 	primary, draining, ended bool
+	down, deaf               bool
 	drainAcked               time.Time
 	term                     uint64 // the term that it leads or follows
 	log                      []commit
@@ -176,7 +177,7 @@
 		g := b.g
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if g.term != term || b.term != term || b.ended || r.ended || r.paused || len(r.log) >= n {
+		if g.term != term || b.term != term || b.ended || r.ended || b.down || r.down || r.paused || r.deaf || len(r.log) >= n {
 			return
 		}
 		r.log = append(r.log[:len(r.log):len(r.log)], b.log[len(r.log):n]...)
@@ -197,12 +198,12 @@
 func (b *backend) awaitSyncLocked(n int) bool {
 	term := b.term
 	for {
-		if !b.primary || b.term != term || b.ended {
+		if !b.primary || b.term != term || b.ended || b.down {
 			return false
 		}
 		holders := 0
 		for _, r := range b.g.backends {
-			if r != b && !r.ended && len(r.log) >= n {
+			if r != b && !r.ended && !r.down && len(r.log) >= n {
 				holders++
 			}
 		}
@@ -223,7 +224,7 @@
 	}
 	g.mu.Lock()
 	b := g.find(body.ID)
-	refused := token < g.token || b == nil
+	refused := token < g.token || b == nil || b.down
 	already := !refused && b.primary
 	if !refused {
 		g.token = token
@@ -246,7 +247,7 @@
 func (g *group) promote(b *backend) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b.ended || b.primary {
+	if b.ended || b.down || b.primary {
 		return
 	}
 	old := g.primaryLocked()
@@ -288,6 +289,9 @@
 	}
 }
 
+// drainExtra is how much longer than the leaving period a backend serves.
+const drainExtra = 500 * time.Millisecond
+
 // drain announces that the backend leaves, serves on for the leaving period and a little
 // longer, and then ends.
 func (b *backend) drain(period time.Duration) {
@@ -301,7 +305,7 @@
 		acked := b.drainAcked
 		b.g.mu.Unlock()
 		if !acked.IsZero() {
-			time.Sleep(time.Until(acked.Add(period + 500*time.Millisecond)))
+			time.Sleep(time.Until(acked.Add(period + drainExtra)))
 			break
 		}
 	}
@@ -309,6 +313,38 @@
 	b.end()
 }
 
+// crash ends the backend's process until restart. Its log is kept.
+func (b *backend) crash() {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.down = true
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	b.g.rec.add("%s crashes, primary: %v, its log ends at %s", b.id, b.primary, b.positionLocked())
+	b.g.cond.Broadcast()
+}
+
+// restart starts the backend's process again, with its log, as a replica if another
+// backend was promoted.
+func (b *backend) restart() {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.down, b.paused, b.pauseTerm, b.born, b.seq = false, false, 0, time.Now().UnixMilli(), 0
+	b.g.rec.add("%s is back, primary: %v, its log ends at %s", b.id, b.primary, b.positionLocked())
+	b.g.catchUpLocked(b)
+	b.notify()
+}
+
+// setDeaf makes a replica receive nothing, or ends that.
+func (b *backend) setDeaf(deaf bool) {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.deaf = deaf
+	b.g.rec.add("%s receives nothing: %v, its log ends at %s", b.id, deaf, b.positionLocked())
+	b.g.catchUpLocked(b)
+}
+
 // end ends the backend's process.
 func (b *backend) end() {
 	b.g.mu.Lock()
@@ -363,7 +399,7 @@
 			b.g.mu.Unlock()
 			return
 		}
-		if b.cutFromControl {
+		if b.cutFromControl || b.down {
 			b.g.mu.Unlock()
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -395,14 +431,28 @@
 	}
 }
 
+// nextHeartbeat returns the address that the next heartbeat goes to first; empty if none
+// was named.
+func (b *backend) nextHeartbeat() string {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	return b.heartbeatURL
+}
+
+func (b *backend) setNextHeartbeat(address string) {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.heartbeatURL = address
+}
+
 var beatClient = &http.Client{Timeout: time.Second}
 
 // send sends a heartbeat or the end to one control host after the other until one
 // acknowledges it.
 func (b *backend) send(method string, body []byte) bool {
 	addresses := b.g.controls()
-	if b.heartbeatURL != "" {
-		addresses = append([]string{b.heartbeatURL}, addresses...)
+	if next := b.nextHeartbeat(); next != "" {
+		addresses = append([]string{next}, addresses...)
 	}
 	for _, address := range addresses {
 		request, err := http.NewRequest(method, "http://"+address+"/-/instances/"+b.id, bytes.NewReader(body))
@@ -412,7 +462,7 @@
 		request.Header.Set("Content-Type", "application/json")
 		response, err := beatClient.Do(request)
 		if err != nil {
-			b.heartbeatURL = ""
+			b.setNextHeartbeat("")
 			continue
 		}
 		var answer struct {
@@ -421,10 +471,10 @@
 		_ = json.NewDecoder(io.LimitReader(response.Body, 4096)).Decode(&answer)
 		_ = response.Body.Close()
 		if response.StatusCode/100 == 2 {
-			b.heartbeatURL = answer.URL
+			b.setNextHeartbeat(answer.URL)
 			return true
 		}
-		b.heartbeatURL = ""
+		b.setNextHeartbeat("")
 	}
 	return false
 }
@@ -436,8 +486,15 @@
 			return
 		}
 		b.g.mu.Lock()
-		b.conns[c] = true
+		down := b.down
+		if !down {
+			b.conns[c] = true
+		}
 		b.g.mu.Unlock()
+		if down {
+			_ = c.Close()
+			continue
+		}
 		go b.serve(c)
 	}
 }
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(program string, trouble bool, rec *recorder) (broken bool, err error){
 	"sync-release": syncRelease,
 	"sync-cut":     syncCut,
+	"sync-ended":   syncEnded,
 	"set-commit":   setCommit,
 }
 
