--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-rig-3 ] && [ -x target/lovageslip-site ] || { echo "build first: deploy/system.toml, review/build-3.sh"; exit 2; }
-exec timeout -k 5 110 target/review-rig-3 sync-ended target/lovageslip-site "$here/record.txt"
+exec target/review-rig-3 sync-ended target/lovageslip-site "$here/record.txt"
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -9,6 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 const (
@@ -17,6 +20,9 @@
 	exitNotRun = 2
 )
 
+// runLimit bounds a run, which ends as one that could not run after that.
+const runLimit = 108 * time.Second
+
 // cases are the scripts by name.
 var cases = map[string]func(program string, trouble bool, rec *recorder) (broken bool, err error){
 	"sync-release": syncRelease,
@@ -38,6 +44,7 @@
 		return exitNotRun
 	}
 	defer rec.close()
+	go endAtLimit(rec)
 	broken, err := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0", rec)
 	switch {
 	case err != nil:
@@ -52,3 +59,21 @@
 		return exitHeld
 	}
 }
+
+// endAtLimit ends the run and the processes that it has started at its limit, or at a
+// signal.
+func endAtLimit(rec *recorder) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-time.After(runLimit):
+	}
+	rec.add("could not run: not finished in time, or ended by a signal")
+	rec.close()
+	if s := started.Load(); s != nil {
+		s.stop()
+	}
+	fmt.Println("could not run: not finished in time, or ended by a signal")
+	os.Exit(exitNotRun)
+}
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -63,15 +63,17 @@
 }
 
 type process struct {
-	site      *site
-	role      string
-	ip, zone  string
-	dir       string
-	cmd       *exec.Cmd
-	exited    chan struct{}
-	seedsOnly []string
+	site     *site
+	role     string
+	ip, zone string
+	dir      string
+	cmd      *exec.Cmd
+	exited   chan struct{}
 }
 
+// started is the site of this run; nil before it has one.
+var started atomic.Pointer[site]
+
 // newSite returns a site whose processes have loopback addresses of their own.
 func newSite(program string, rec *recorder, platform string) (*site, error) {
 	dir, err := os.MkdirTemp("", "review-rig-3-")
@@ -83,6 +85,7 @@
 		port := 12000 + (os.Getpid()*37+tries*101)%8000
 		if s.portsFree(port) {
 			s.port = port
+			started.Store(s)
 			return s, nil
 		}
 	}
@@ -162,6 +165,8 @@
 	p.cmd = exec.Command(s.program, p.role)
 	p.cmd.Env = append(os.Environ(), "LOVAGESLIP_SETTINGS="+path)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The process ends with this one, however that ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/_rig3/synccut.go
+++ b/review/_rig3/synccut.go
@@ -9,7 +9,7 @@
 	// cutPeriod is how long a replica is cut off from the control hosts.
 	cutPeriod = 5 * time.Second
 	// cutRounds is how often a primary is replaced while a replica is cut off.
-	cutRounds = 8
+	cutRounds = 6
 	// steadyClients write all the time. burstClients join them for burstPeriod, from
 	// burstAfter on after the acknowledgement that the primary leaves.
 	steadyClients = 2
