--- a/review/_rig3/syncrelease.go
+++ b/review/_rig3/syncrelease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -237,26 +238,32 @@
 	return nil, fmt.Errorf("no change of primary")
 }
 
-// missing reports whether an acknowledged entry is not in the primary's log.
+// missing reports whether an acknowledged entry is not in the primary's log. What is
+// acknowledged later is not looked at.
 func (f *filings) missing(g *group) bool {
+	f.mu.Lock()
+	acked := maps.Clone(f.acked)
+	f.mu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.primaryLocked()
-	held := map[string]int{}
-	if p != nil {
-		for _, c := range p.log {
-			name, _ := cut(c.data)
-			held[name]++
-		}
+	if p == nil {
+		f.rec.add("no primary: nothing can be compared")
+		return false
+	}
+	held := map[string]bool{}
+	for _, c := range p.log {
+		name, _ := cut(c.data)
+		held[name] = true
 	}
 	lost := 0
-	for data := range f.acked {
-		if held[data] == 0 {
+	for data := range acked {
+		if !held[data] {
 			lost++
-			f.rec.add("LOST: entry %s was acknowledged and is not in the log of %s", data, idOf(p))
+			f.rec.add("LOST: entry %s was acknowledged and is not in the log of %s", data, p.id)
 		}
 	}
-	f.rec.add("%d entries acknowledged, %d of them lost", len(f.acked), lost)
-	fmt.Printf("%d entries acknowledged, %d of them lost\n", len(f.acked), lost)
+	f.rec.add("%d entries acknowledged, %d of them lost", len(acked), lost)
+	fmt.Printf("%d entries acknowledged, %d of them lost\n", len(acked), lost)
 	return lost > 0
 }
