--- a/review/_rig3/backend.go
+++ b/review/_rig3/backend.go
@@ -51,6 +51,8 @@
 	// onRun is called, with the lock held, for each statement of a client that runs, with
 	// the session values of the connection.
 	onRun func(id, word string, values map[string]string)
+	// rows returns the rows of an item that has more than one, or nil. It may be nil.
+	rows func(item string) []string
 
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -560,12 +562,34 @@
 			}
 			time.Sleep(delay)
 		}
-		if _, err := c.Write([]byte(reply)); err != nil {
+		if err := writePaced(c, reply); err != nil {
 			return
 		}
 	}
 }
 
+const (
+	// linkBytesPerSecond is 500 Mbit/s, less than the link of an entry machine.
+	linkBytesPerSecond = 500e6 / 8
+	linkChunkBytes     = 256 << 10
+)
+
+// writePaced writes an answer no faster than the network would carry it.
+func writePaced(c net.Conn, reply string) error {
+	begun := time.Now()
+	for sent := 0; sent < len(reply); {
+		n := min(linkChunkBytes, len(reply)-sent)
+		if _, err := io.WriteString(c, reply[sent:sent+n]); err != nil {
+			return err
+		}
+		sent += n
+		if sent < len(reply) {
+			time.Sleep(time.Until(begun.Add(time.Duration(float64(sent) / linkBytesPerSecond * float64(time.Second)))))
+		}
+	}
+	return nil
+}
+
 func cut(s string) (word, rest string) {
 	word, rest, _ = strings.Cut(s, " ")
 	return word, rest
@@ -724,6 +748,12 @@
 			}
 		}
 		row = "DATAROW " + value + "\r\n"
+		if b.g.rows != nil {
+			if rows := b.g.rows(item); rows != nil {
+				row = "DATAROW " + strings.Join(rows, "\r\nDATAROW ") + "\r\n"
+				b.g.rec.add("%s runs %s %s %s: %d rows, %d bytes", b.id, id, word, item, len(rows), len(row))
+			}
+		}
 	case "WRITE":
 		if s.state == "T" {
 			s.writes = append(s.writes, item+" "+data)
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -29,6 +29,7 @@
 	"sync-cut":     syncCut,
 	"sync-ended":   syncEnded,
 	"set-commit":   setCommit,
+	"slow-readers": slowReaders,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -55,11 +55,13 @@
 	port     int
 	lost     int // fault_tolerance.machines
 	platform string
-	rec      *recorder
-	controls []*process
-	proxies  []*process
-	mu       sync.Mutex
-	stopped  bool
+	// proxyMemoryMB is memory_mb of the proxies.
+	proxyMemoryMB int
+	rec           *recorder
+	controls      []*process
+	proxies       []*process
+	mu            sync.Mutex
+	stopped       bool
 }
 
 type process struct {
@@ -74,13 +76,16 @@
 // started is the site of this run; nil before it has one.
 var started atomic.Pointer[site]
 
+// defaultMemoryMB is memory_mb of a control host, and of a proxy unless a case says otherwise.
+const defaultMemoryMB = 280
+
 // newSite returns a site whose processes have loopback addresses of their own.
 func newSite(program string, rec *recorder, platform string) (*site, error) {
 	dir, err := os.MkdirTemp("", "review-rig-3-")
 	if err != nil {
 		return nil, err
 	}
-	s := &site{program: program, dir: dir, network: 50 + os.Getpid()%150, lost: 1, platform: platform, rec: rec}
+	s := &site{program: program, dir: dir, network: 50 + os.Getpid()%150, lost: 1, platform: platform, proxyMemoryMB: defaultMemoryMB, rec: rec}
 	for tries := 0; tries < 100; tries++ {
 		port := 12000 + (os.Getpid()*37+tries*101)%8000
 		if s.portsFree(port) {
@@ -133,16 +138,18 @@
 	}
 	listen := map[string]string{"front": p.front(), "ready": fmt.Sprintf("%s:%d", p.ip, s.port+1)}
 	class, serves, dataDir := "front", "front", any(nil)
+	memoryMB := s.proxyMemoryMB
 	if p.role == "control" {
 		listen = map[string]string{"control": fmt.Sprintf("%s:%d", p.ip, s.port+2)}
 		class, serves, dataDir = "core", "control", filepath.Join(p.dir, "data")
+		memoryMB = defaultMemoryMB
 	}
 	seeds := s.controlAddresses()
 	settings, err := json.Marshal(map[string]any{
 		"node_name": p.name(), "role": p.role, "machine_class": class, "serves": []string{serves}, "ip": p.ip, "zone": p.zone, "region": region(p.zone),
 		"zones": map[string]string{"a1": "a", "b1": "b", "b2": "b"}, "listen": listen, "internal_port_range": []int{s.port + 3, s.port + 11},
 		"seeds": seeds[:min(3, len(seeds))], "bootstrap": first, "counts_as_loss": p.role == "control",
-		"limits":   map[string]any{"cpu_share": 0.96, "cpu_cores": 1, "memory_mb": 280, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128},
+		"limits":   map[string]any{"cpu_share": 0.96, "cpu_cores": 1, "memory_mb": memoryMB, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128},
 		"data_dir": dataDir, "discovery": "registry", "entry": "vip", "heartbeat_ms": 1200, "invariants": []string{"base", "drain", "config", "cost", "recover", "sql"},
 		"fault_tolerance": map[string]int{"machines": s.lost, "zones": 0, "regions": 0},
 		"bounds": map[string]any{"seed_lag_s": 3, "addr_reuse_s": 2, "stability_window_ms": 5000, "ack_ms": 6000, "catch_up_s": 4, "drain_ms": 7000,
--- a/review/_rig3/syncrelease.go
+++ b/review/_rig3/syncrelease.go
@@ -71,6 +71,11 @@
 // startLedger starts a site with three services of three backends each, which acknowledge
 // a commit once one replica has received it. It returns the first service and its primary.
 func startLedger(program string, rec *recorder) (*group, *site, *backend, error) {
+	return startLedgerWith(program, rec, func(*site) {})
+}
+
+// startLedgerWith does the same on a site that change has changed before its start.
+func startLedgerWith(program string, rec *recorder, change func(*site)) (*group, *site, *backend, error) {
 	g := newGroup("ledger", 1, 600*time.Millisecond, rec)
 	all := platform{g}
 	for _, name := range otherServices {
@@ -85,6 +90,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
+	change(s)
 	first, err := s.startAll(all)
 	if err != nil {
 		s.stop()
