--- a/review/_rig3/site.go
+++ b/review/_rig3/site.go
@@ -195,15 +195,6 @@
 
 func (p *process) signal(signal syscall.Signal) { _ = p.cmd.Process.Signal(signal) }
 
-func (p *process) running() bool {
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // stop ends all processes and removes the folder.
 func (s *site) stop() {
 	s.mu.Lock()
